--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load generator and experiments.
--- /dev/null
+++ b/crates/consensus/src/output.rs
@@ -0,0 +1,49 @@
+use crate::{Entry, HardState, Message, Role, Snapshot};
+
+/// Names a proposal between its input and its outputs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProposalId(pub u64);
+
+/// Why a proposal has no committed position.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProposalError {
+    /// This node does not lead; the command is in no log.
+    NotLeader,
+    /// Leadership was lost after the command was appended; it may still be committed.
+    Unknown,
+    /// A membership change is not allowed now; it is in no log.
+    Rejected,
+}
+
+/// What the driver of a `Node` has to do, in this order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Write the hard state. Messages that follow in the same batch are sent only once it is
+    /// synced.
+    PersistHardState(HardState),
+    /// Remove all entries from this position on, then append the entries, then report
+    /// `Input::Persisted` once they are synced.
+    PersistEntries(Vec<Entry>),
+    /// Replace log and state by the snapshot, synced before messages that follow are sent.
+    PersistSnapshot(Snapshot),
+    /// Send a message.
+    Send(Message),
+    /// Apply a committed entry. Positions are contiguous.
+    Commit(Entry),
+    /// The proposal was committed at this position and has been applied.
+    Accepted {
+        /// The proposal.
+        id: ProposalId,
+        /// Its position.
+        index: u64,
+    },
+    /// The proposal has no committed position.
+    Failed {
+        /// The proposal.
+        id: ProposalId,
+        /// Why.
+        error: ProposalError,
+    },
+    /// The role of the node changed.
+    RoleChanged(Role),
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control replica.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry VM: lookup, forwarding and ownership of endpoints.
--- /dev/null
+++ b/crates/harness/src/lib.rs
@@ -0,0 +1,1 @@
+//! Process runner and fault-injecting proxy for the integration tests.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Lookup order, choice of owner, outlier ejection, retries and hedging.
--- /dev/null
+++ b/crates/rpc/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between the system's processes.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings files in JSON with comments.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for endpoints and the platform's VM list.
--- /dev/null
+++ b/crates/state/src/actor.rs
@@ -0,0 +1,10 @@
+use serde::{Deserialize, Serialize};
+
+/// Who asked for a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Actor {
+    /// An operator, by name.
+    Operator(String),
+    /// A process of the system, by its name in the settings.
+    Process(String),
+}
--- /dev/null
+++ b/crates/state/src/attempt.rs
@@ -0,0 +1,13 @@
+use mangospindle_model::EntryId;
+use serde::{Deserialize, Serialize};
+
+/// One attempt of one entry process to claim an action.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Attempt {
+    /// The entry that claims.
+    pub entry: EntryId,
+    /// Random number drawn at the start of the entry process.
+    pub incarnation: u64,
+    /// Sequence number within the entry process.
+    pub sequence: u64,
+}
--- /dev/null
+++ b/crates/state/src/config_change.rs
@@ -0,0 +1,26 @@
+use crate::{EntryStatus, Ownership, VersionedProfile};
+use mangospindle_model::{Endpoint, EndpointId, Entry, EntryId, RegionId, ServiceId};
+use serde::{Deserialize, Serialize};
+
+/// One step from a version of a [`Config`](crate::Config) to the next.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ConfigChange {
+    /// A profile was created or replaced.
+    PutProfile(VersionedProfile),
+    /// A profile was removed.
+    DeleteProfile(String),
+    /// A service runs under another profile.
+    AssignProfile(ServiceId, String),
+    /// The in-progress limit of a region changed.
+    SetRegionLimit(RegionId, u32),
+    /// The drain of an endpoint started or ended.
+    SetEndpointDrain(EndpointId, bool),
+    /// An entry was added.
+    AddEntry(Entry),
+    /// An endpoint was added.
+    AddEndpoint(Endpoint),
+    /// The status of an entry changed.
+    SetEntryStatus(EntryId, EntryStatus),
+    /// An endpoint changed its owner.
+    SetOwnership(EndpointId, Ownership),
+}
--- /dev/null
+++ b/crates/state/src/versioned_profile.rs
@@ -0,0 +1,11 @@
+use mangospindle_model::Profile;
+use serde::{Deserialize, Serialize};
+
+/// A profile with the version that changes are checked against.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VersionedProfile {
+    /// Grows by one with each change of the profile.
+    pub version: u64,
+    /// The profile.
+    pub profile: Profile,
+}
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Write-ahead log and snapshot files.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! JSON line logs and metrics.
--- /dev/null
+++ b/src/bin/mangospindle-standin.rs
@@ -0,0 +1,3 @@
+//! Thin binary.
+
+fn main() {}
