Add the public signatures of routing and quota

Cause: the entry process is written at the same time and needs the types of Router, Admission and LinkShaper before their behaviour exists.

--- /dev/null
+++ b/crates/routing/src/retry_decision.rs
@@ -0,0 +1,13 @@
+use std::time::Duration;
+
+/// What to do after a failed or refused attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// Ask [`Router::choose`](crate::Router::choose) for another owner after the delay.
+    Retry {
+        /// Jittered wait before the next attempt.
+        delay: Duration,
+    },
+    /// Return the error to the caller.
+    GiveUp,
+}
