--- a/crates/quota/src/admission.rs
+++ b/crates/quota/src/admission.rs
@@ -196,13 +196,13 @@
         let mut good = true;
         match result {
             RequestResult::Answered { first_byte } => {
-                endpoint.stats.record_latency(first_byte);
-                endpoint.stats.record_success();
+                endpoint.stats.record_latency(now, first_byte);
+                endpoint.stats.record_success(now);
                 endpoint.answered_at = Some(now);
                 good = self.services[service.index()].record_latency(first_byte);
             }
             RequestResult::Failed | RequestResult::TimedOut | RequestResult::Shed => {
-                endpoint.stats.record_failure();
+                endpoint.stats.record_failure(now);
                 self.eject_if_bad(now, record.position);
                 good = false;
             }
--- a/crates/quota/src/admission/dispatch.rs
+++ b/crates/quota/src/admission/dispatch.rs
@@ -91,7 +91,7 @@
         let (first, second) = (draw()?, draw()?);
         let cost = |i: usize| {
             let e = &self.endpoints[i];
-            e.stats.cost(now, e.slots, usual_s)
+            e.stats.cost(e.slots, usual_s) / e.stats.ramp(now)
         };
         let (a, b) = (cost(first), cost(second));
         if a.max(b) <= a.min(b) * EQUAL_FACTOR {
--- a/crates/quota/tests/quota/op.rs
+++ b/crates/quota/tests/quota/op.rs
@@ -13,6 +13,8 @@
         remaining_ms: u64,
         count: usize,
     },
+    /// Fills all owners with home requests that run long.
+    Saturate,
     /// Ends a running request: good, slow, failed, or given up by the caller.
     Finish {
         which: usize,
@@ -59,14 +61,15 @@
                 entry, service, class, away, remaining_ms, count
             }
         ),
-        30 => (any::<usize>(), 0..8u8).prop_map(|(which, how)| Op::Finish { which, how }),
+        8 => Just(Op::Saturate),
+        24 => (any::<usize>(), 0..8u8).prop_map(|(which, how)| Op::Finish { which, how }),
         1 => any::<usize>().prop_map(Op::Cancel),
         1 => any::<usize>().prop_map(Op::Kill),
         3 => any::<usize>().prop_map(Op::Restart),
         1 => any::<usize>().prop_map(Op::Fence),
         1 => (1..30u32).prop_map(Op::RegionLimit),
         1 => (0..12u32).prop_map(Op::CrossLimit),
-        1 => (0..2u16, 0..2u16).prop_map(|(service, domain)| Op::AddEndpoint { service, domain }),
+        2 => (0..2u16, 0..2u16).prop_map(|(service, domain)| Op::AddEndpoint { service, domain }),
         2 => (any::<usize>(), any::<bool>()).prop_map(|(endpoint, drain)| Op::Drain { endpoint, drain }),
         2 => (any::<usize>(), 0..6u8).prop_map(|(endpoint, what)| Op::Reading { endpoint, what }),
         2 => (any::<usize>(), any::<bool>()).prop_map(move |(entry, cut)| Op::CutOff { entry, cut: cut && with_cut_off }),
--- a/crates/quota/tests/quota/world.rs
+++ b/crates/quota/tests/quota/world.rs
@@ -287,6 +287,19 @@
                 };
                 self.finish(which % self.running.len(), result);
             }
+            Op::Saturate => {
+                let class = RequestClass::AtMostOnce;
+                for i in 0..3 * 2 * 8 {
+                    let service = ServiceId(i as u16 / 3 % 2);
+                    let request = AdmissionRequest {
+                        service,
+                        class,
+                        home: HOME,
+                        remaining: ms(9_000),
+                    };
+                    self.request(entry_of(i), request);
+                }
+            }
             Op::Finish { .. } => {}
             Op::Cancel(entry) => {
                 if let Some(process) = self.processes.get_mut(&entry_of(entry)) {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -148,6 +148,7 @@
             return;
         };
         match event {
+            OwnerEvent::AnswerStarted { after } => state.record_latency(after),
             OwnerEvent::AnswerComplete { .. } => state.pressure.record(now, false),
             OwnerEvent::Refused { kind } if is_pressure(kind) => state.pressure.record(now, true),
             _ => {}
@@ -157,12 +158,12 @@
         };
         match event {
             OwnerEvent::AnswerStarted { after } => {
-                item.stats.record_latency(after);
+                item.stats.record_latency(now, after);
                 item.accepted();
             }
             OwnerEvent::AnswerComplete { .. } => {
                 item.stats.ended();
-                item.stats.record_success();
+                item.stats.record_success(now);
             }
             OwnerEvent::Refused { kind } => {
                 item.stats.ended();
@@ -173,7 +174,7 @@
             }
             OwnerEvent::Failed | OwnerEvent::TimedOut => {
                 item.stats.ended();
-                item.stats.record_failure();
+                item.stats.record_failure(now);
                 self.eject_if_bad(now, owner, service);
             }
             OwnerEvent::Cancelled => item.stats.ended(),
--- a/crates/routing/src/router/choose.rs
+++ b/crates/routing/src/router/choose.rs
@@ -8,10 +8,16 @@
 /// Cost of an owner outside the client's home region, where the best owner in the home region costs
 /// about 1. Cross-region capacity is limited, so the home region must be this much worse.
 const CROSS_REGION_COST: f64 = 2.0;
+/// Smallest cost, so that failures count when all goals cost nothing.
+const MIN_COST: f64 = 0.01;
 /// Owners whose cost is within this factor of the best are equal.
 const EQUAL_FACTOR: f64 = 1.25;
-/// Factor on the cost of an owner whose attempts all fail.
-const FAILURE_COST: f64 = 20.0;
+/// The second of two drawn owners is taken if its load is lower by this factor, so that differences
+/// within the noise don't favour one owner.
+const EQUAL_LOAD: f64 = 1.1;
+/// Probability with which a choice ignores old observations, so that an owner that was slow or
+/// failing is found again after it recovered.
+const DOUBT: f64 = 0.05;
 
 /// Which owners are acceptable for an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -55,22 +61,22 @@
         candidates.retain(|c| c.1 == best);
         let weights = self.config.profile_of(attempts.service).map(|p| p.weights);
         let weights = normalized(weights);
-        let usual_s = service.usual_latency_s();
+        let usual_s = service.usual_s();
+        let doubt = self.rng.random::<f64>() < DOUBT;
         let candidates: Vec<&Owner> = candidates.into_iter().map(|c| c.0).collect();
         let ramped = in_ramp(&candidates, now, &mut self.rng);
-        let costs = self.costs(now, &ramped, service, attempts.home, weights, usual_s);
+        let costs = self.costs(now, &ramped, service, attempts.home, weights, doubt);
         let limit = costs.iter().copied().fold(f64::INFINITY, f64::min) * EQUAL_FACTOR;
         let equal: Vec<&Owner> = (ramped.iter().zip(&costs))
             .filter(|(_, cost)| **cost <= limit)
             .map(|(o, _)| *o)
             .collect();
-        let first = weighted(&equal, now, &mut self.rng)?;
-        let second = weighted(&equal, now, &mut self.rng)?;
-        let load = |o: &Owner| o.stats.cost(now, o.slots, usual_s);
-        let chosen = if load(second) < load(first) {
-            second
-        } else {
-            first
+        let first = weighted(&equal, &mut self.rng)?;
+        let second = weighted(&equal, &mut self.rng)?;
+        let load = |o: &Owner| o.stats.cost(o.slots, usual_s);
+        let chosen = match load(second) * EQUAL_LOAD < load(first) {
+            true => second,
+            false => first,
         };
         Some(chosen.entry)
     }
@@ -92,37 +98,37 @@
         service: &ServiceOwners,
         home: RegionId,
         weights: Weights,
-        usual_s: f64,
+        doubt: bool,
     ) -> Vec<f64> {
-        // The fastest answer that the home region could give if it is in its usual state.
-        let fastest_s =
-            (service.owners.iter().filter_map(|o| o.stats.latency_s())).fold(usual_s, f64::min);
+        let usual_s = service.usual_s();
         let network = |o: &Owner| self.network_s(o.entry);
         let home_network_s = (service.owners.iter().filter(|o| o.region == home))
             .map(network)
             .fold(f64::INFINITY, f64::min);
-        let any_network_s = owners
-            .iter()
-            .map(|o| network(o))
-            .fold(f64::INFINITY, f64::min);
-        let reachable_s = match home_network_s.is_finite() {
-            true => home_network_s,
-            false => any_network_s,
+        let any_network_s = (owners.iter().map(|o| network(o))).fold(f64::INFINITY, f64::min);
+        // The fastest answer that the home region could give in its usual state.
+        let floor_s = match home_network_s.is_finite() {
+            true => home_network_s.max(usual_s),
+            false => any_network_s.max(usual_s),
         };
-        let floor_s = (reachable_s.max(fastest_s)).max(1e-6);
         let cost = |o: &&Owner| {
+            let doubted = doubt && o.stats.is_stale(now);
             // The observed latency of an owner includes the way to it.
-            let expected_s = (o.stats.latency_s()).unwrap_or_else(|| network(o).max(fastest_s));
-            let latency = expected_s / floor_s;
-            let cross = if o.region == home {
-                0.0
-            } else {
-                CROSS_REGION_COST
+            let observed_s = o.stats.latency_s().filter(|_| !doubted);
+            let expected_s = observed_s.unwrap_or_else(|| network(o).max(usual_s));
+            let cross = match o.region == home {
+                true => 0.0,
+                false => CROSS_REGION_COST,
             };
-            let goals = weights.latency * latency
+            let goals = weights.latency * expected_s / floor_s
                 + weights.headroom * o.busy(now)
                 + weights.drain * o.leaving_share;
-            (goals + cross + 0.01) * (1.0 + FAILURE_COST * o.stats.failure_rate())
+            let failures = if doubted {
+                1.0
+            } else {
+                o.stats.failure_factor()
+            };
+            (goals + cross + MIN_COST) * failures
         };
         owners.iter().map(cost).collect()
     }
@@ -172,11 +178,11 @@
 }
 
 /// Draws an owner in proportion to its slots.
-fn weighted<'a, R>(owners: &[&'a Owner], now: Duration, rng: &mut R) -> Option<&'a Owner>
+fn weighted<'a, R>(owners: &[&'a Owner], rng: &mut R) -> Option<&'a Owner>
 where
     R: Rng,
 {
-    let weight = |o: &Owner| f64::from(o.slots) * o.stats.ramp(now);
+    let weight = |o: &Owner| f64::from(o.slots);
     let total: f64 = owners.iter().map(|o| weight(o)).sum();
     let mut rest = rng.random::<f64>() * total;
     for owner in owners {
--- a/crates/routing/src/router/service_owners.rs
+++ b/crates/routing/src/router/service_owners.rs
@@ -11,6 +11,7 @@
     pub(super) owners: Vec<Owner>,
     pub(super) budget: RetryBudget,
     pub(super) pressure: Pressure,
+    usual_s: Option<f64>,
 }
 
 impl ServiceOwners {
@@ -63,16 +64,26 @@
         self.owners.get_mut(position)
     }
 
-    /// Mean latency of the owners that have one, in seconds.
-    pub(super) fn usual_latency_s(&self) -> f64 {
-        let known = self.owners.iter().filter_map(|o| o.stats.latency_s());
-        let (sum, count) = known.fold((0.0, 0), |(s, n), l| (s + l, n + 1));
-        match count {
-            0 => Self::ASSUMED_LATENCY_S,
-            n => sum / f64::from(n),
-        }
+    /// Records the time to the first byte of an answer of any owner.
+    pub(super) fn record_latency(&mut self, latency: Duration) {
+        let sample = latency.as_secs_f64();
+        self.usual_s = Some(match self.usual_s {
+            Some(usual) if sample < usual => usual + Self::FALL * (sample - usual),
+            Some(usual) => sample.min(usual * Self::RISE),
+            None => sample,
+        });
+    }
+
+    /// Latency of the fastest owners in their usual state, in seconds.
+    pub(super) fn usual_s(&self) -> f64 {
+        self.usual_s.unwrap_or(Self::ASSUMED_LATENCY_S).max(1e-6)
     }
 
+    /// Weight of a sample below the usual latency.
+    const FALL: f64 = 0.2;
+    /// Largest factor on the usual latency by one slow sample. It is close to 1, so that a slow
+    /// phase of seconds does not become the usual state.
+    const RISE: f64 = 1.001;
     /// Latency of a service before the first answer, in seconds.
     const ASSUMED_LATENCY_S: f64 = 0.005;
 }
--- a/crates/routing/src/target_stats.rs
+++ b/crates/routing/src/target_stats.rs
@@ -16,6 +16,7 @@
     ejected_until: Duration,
     ejections: u32,
     ramp_from: Duration,
+    observed_at: Duration,
 }
 
 impl TargetStats {
@@ -33,6 +34,8 @@
     pub const EJECT_BASE: Duration = Duration::from_secs(1);
     /// Longest ejection.
     pub const EJECT_MAX: Duration = Duration::from_secs(30);
+    /// Age after which observations may be doubted, because the target may have recovered.
+    pub const STALE_AFTER: Duration = Duration::from_secs(5);
     /// Weight of a new sample in the moving averages.
     const ALPHA: f64 = 0.1;
     /// Factor on the cost of a target whose attempts all fail.
@@ -49,6 +52,7 @@
             ejected_until: Duration::ZERO,
             ejections: 0,
             ramp_from: now,
+            observed_at: now,
         }
     }
 
@@ -67,6 +71,11 @@
         self.failure_rate
     }
 
+    /// Whether the last observation is so old that the target should be tried again.
+    pub fn is_stale(&self, now: Duration) -> bool {
+        now >= self.observed_at + Self::STALE_AFTER
+    }
+
     /// Counts an attempt that was sent.
     pub fn sent(&mut self) {
         self.in_flight += 1;
@@ -78,7 +87,8 @@
     }
 
     /// Records the time to the first byte of an answer.
-    pub fn record_latency(&mut self, latency: Duration) {
+    pub fn record_latency(&mut self, now: Duration, latency: Duration) {
+        self.observed_at = now;
         let sample = latency.as_secs_f64();
         self.latency_s = Some(match self.latency_s {
             Some(mean) => mean + Self::ALPHA * (sample - mean),
@@ -87,7 +97,8 @@
     }
 
     /// Records a complete answer.
-    pub fn record_success(&mut self) {
+    pub fn record_success(&mut self, now: Duration) {
+        self.observed_at = now;
         self.failure_rate *= 1.0 - Self::ALPHA;
         self.samples = self.samples.saturating_add(1);
         self.consecutive_failures = 0;
@@ -97,7 +108,8 @@
     }
 
     /// Records a failed or timed out attempt.
-    pub fn record_failure(&mut self) {
+    pub fn record_failure(&mut self, now: Duration) {
+        self.observed_at = now;
         self.failure_rate += Self::ALPHA * (1.0 - self.failure_rate);
         self.samples = self.samples.saturating_add(1);
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
@@ -143,11 +155,16 @@
         (since / Self::SLOW_START.as_secs_f64()).clamp(Self::RAMP_FLOOR, 1.0)
     }
 
+    /// Factor on the cost of the target: 1 without failures.
+    pub fn failure_factor(&self) -> f64 {
+        1.0 + Self::FAILURE_COST * self.failure_rate
+    }
+
     /// Cost of one more attempt on a target with `slots` slots: lower is better. `usual_s` stands
     /// in for the latency of a target without observations.
-    pub fn cost(&self, now: Duration, slots: u32, usual_s: f64) -> f64 {
+    pub fn cost(&self, slots: u32, usual_s: f64) -> f64 {
         let load = f64::from(self.in_flight + 1) / f64::from(slots.max(1));
         let latency = self.latency_s.unwrap_or(usual_s).max(1e-6);
-        load * latency * (1.0 + Self::FAILURE_COST * self.failure_rate) / self.ramp(now)
+        load * latency * self.failure_factor()
     }
 }
