--- a/crates/model/src/profile.rs
+++ b/crates/model/src/profile.rs
@@ -1,4 +1,4 @@
-use crate::{RequestClass, Weights};
+use crate::{ProfileError, RequestClass, Weights};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -38,3 +38,30 @@
     /// Order in which classes are refused under pressure, first to last.
     pub shed_order: Vec<RequestClass>,
 }
+
+impl Profile {
+    /// Checks the name and the ranges of all numbers.
+    pub fn validate(&self) -> Result<(), ProfileError> {
+        let name_char = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+        let weights = [
+            self.weights.latency,
+            self.weights.headroom,
+            self.weights.drain,
+        ];
+        let weights_ok =
+            weights.iter().all(|w| w.is_finite() && *w >= 0.0) && weights.iter().any(|w| *w > 0.0);
+        let mut classes = self.shed_order.clone();
+        classes.sort();
+        match self {
+            p if p.name.is_empty() || !p.name.chars().all(name_char) => {
+                Err(ProfileError::Name(p.name.clone()))
+            }
+            _ if !weights_ok => Err(ProfileError::Weights),
+            p if !(p.pace_start > 0.0 && p.pace_start <= 1.0) => Err(ProfileError::PaceStart),
+            p if !(p.pace_growth > 1.0 && p.pace_growth <= 10.0) => Err(ProfileError::PaceGrowth),
+            p if !(0.0..=1.0).contains(&p.retry_budget) => Err(ProfileError::RetryBudget),
+            _ if classes != RequestClass::ALL => Err(ProfileError::ShedOrder),
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,28 @@
 //! JSON line logs and metrics.
+//!
+//! Each log line is one JSON object with the time, level, module and message. A message starts with
+//! a stable event name in the `event` field when it is logged with [`event!`].
+
+mod logging;
+mod metrics_text;
+
+pub use logging::{init_logging, json_line};
+pub use metrics_text::metrics_text;
+
+/// Logs an event with a stable name and fields.
+///
+/// ```ignore
+/// event!(Info, "entry_draining", "entry" => name, "in_progress" => count);
+/// ```
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $name:literal $(, $key:literal => $value:expr)* $(,)?) => {
+        if ::log::log_enabled!(::log::Level::$level) {
+            ::log::log!(
+                ::log::Level::$level,
+                "{}",
+                $crate::json_line($name, &[$(($key, $value.to_string())),*])
+            );
+        }
+    };
+}
--- /dev/null
+++ b/crates/telemetry/src/logging.rs
@@ -0,0 +1,44 @@
+use log::LevelFilter;
+use miette::{IntoDiagnostic, Result};
+use serde_json::{Map, Value, json};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Starts logging to standard error, one JSON object per line.
+pub fn init_logging(process: &str, level: &str) -> Result<()> {
+    let process = process.to_string();
+    let level: LevelFilter = level.parse().into_diagnostic()?;
+    fern::Dispatch::new()
+        .level(level)
+        .level_for("actix_http", level.min(LevelFilter::Info))
+        .format(move |out, message, record| {
+            // The wall clock only labels the line; nothing is decided by it.
+            let time_ms = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |d| d.as_millis() as u64);
+            let mut line = Map::new();
+            line.insert("time_ms".into(), json!(time_ms));
+            line.insert("level".into(), json!(record.level().as_str()));
+            line.insert("process".into(), json!(process));
+            line.insert("module".into(), json!(record.target()));
+            match serde_json::from_str::<Map<String, Value>>(&message.to_string()) {
+                Ok(fields) => line.extend(fields),
+                Err(_) => {
+                    line.insert("message".into(), json!(message.to_string()));
+                }
+            }
+            out.finish(format_args!("{}", Value::Object(line)));
+        })
+        .chain(std::io::stderr())
+        .apply()
+        .into_diagnostic()
+}
+
+/// Encodes an event and its fields as one JSON object.
+pub fn json_line(event: &str, fields: &[(&str, String)]) -> String {
+    let mut line = Map::new();
+    line.insert("event".into(), json!(event));
+    for (key, value) in fields {
+        line.insert((*key).to_string(), json!(value));
+    }
+    Value::Object(line).to_string()
+}
