Add stand-ins for endpoints and the VM list, and a load generator

Cause: the whole path needs something behind and before the entries.

Ruled out: a closed-loop generator, because a slow system would slow it down and hide its own delays; a trusted client address header, because callers on loopback can send from addresses of their own (127.16.0.0/16), so that no such header is needed.

Before: nothing to send or to serve. After: 48 endpoint stand-ins in one process that count requests, slots, connections and executions per key, and a seeded Poisson load that checks each answer byte for byte. Not measured yet with entries.

Conclusion: the receiving side can prove limits and at-most-once execution.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,21 @@
-//! Open-loop load generator and experiments.
+//! Open-loop load generator.
+//!
+//! Requests start at times drawn from a seeded Poisson process, whether or not earlier ones have
+//! been answered, and latencies count from the scheduled time. A slow system therefore cannot hide
+//! its delays by slowing the generator down.
+
+mod caller;
+mod command;
+mod histogram;
+mod lookup_cache;
+mod plan;
+mod recorder;
+mod report;
+mod run;
+mod traffic;
+
+pub use command::{Command, command, run_command};
+pub use plan::LoadPlan;
+pub use report::{ClassReport, LatencyMs, LoadReport};
+pub use run::run_load;
+pub use traffic::{Traffic, TrafficKind};
