--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -1,10 +1,14 @@
 use crate::{LoadPlan, Traffic, run_load};
 use bpaf::{OptionParser, Parser, construct, long};
+use mangospindle_model::Topology;
 use mangospindle_settings::Deployment;
-use miette::{IntoDiagnostic, Result};
+use miette::{IntoDiagnostic, Result, bail};
 use std::path::PathBuf;
 use std::time::Duration;
 
+/// Pause between two questions whether an entry is ready.
+const READY_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Command line of the load generator.
 #[derive(Clone, Debug)]
 pub struct Command {
@@ -13,6 +17,7 @@
     rate: f64,
     callers: u16,
     seed: u64,
+    wait_ready_s: u64,
     json: bool,
 }
 
@@ -41,6 +46,11 @@
         .argument::<u64>("N")
         .fallback(1)
         .display_fallback();
+    let wait_ready_s = long("wait-ready")
+        .help("Wait at most this many seconds until all entries are ready")
+        .argument::<u64>("N")
+        .fallback(0)
+        .display_fallback();
     let json = long("json")
         .help("Print the result as JSON in place of a table")
         .switch();
@@ -50,6 +60,7 @@
         rate,
         callers,
         seed,
+        wait_ready_s,
         json
     })
     .to_options()
@@ -61,6 +72,9 @@
 /// Generates the load and prints the result.
 pub async fn run_command(command: Command) -> Result<()> {
     let topology = Deployment::load(&command.deployment)?.topology;
+    if command.wait_ready_s > 0 {
+        wait_ready(&topology, Duration::from_secs(command.wait_ready_s)).await?;
+    }
     let plan = LoadPlan {
         entries: topology.entries.iter().map(|e| e.public_address).collect(),
         traffic: Traffic::mix(&topology, command.rate),
@@ -80,3 +94,20 @@
     }
     Ok(())
 }
+
+/// Waits until all entries say that they are ready.
+async fn wait_ready(topology: &Topology, limit: Duration) -> Result<()> {
+    let client = awc::Client::default();
+    let all_ready = async {
+        for entry in &topology.entries {
+            let url = format!("http://{}/readyz", entry.public_address);
+            while !(client.get(&url).send().await).is_ok_and(|a| a.status().is_success()) {
+                actix_rt::time::sleep(READY_POLL_INTERVAL).await;
+            }
+        }
+    };
+    match actix_rt::time::timeout(limit, all_ready).await {
+        Ok(()) => Ok(()),
+        Err(_) => bail!("not all entries are ready after {limit:?}"),
+    }
+}
