--- a/crates/state/src/command_kind.rs
+++ b/crates/state/src/command_kind.rs
@@ -77,7 +77,8 @@
         /// The process that is stopping.
         incarnation: u64,
     },
-    /// The owner has no request in progress at the endpoint and dispatches nothing more.
+    /// The owner has no request in progress at the endpoint and dispatches nothing more. An owner
+    /// in quarantine releases only after its wait; an earlier release passes the quarantine on.
     ReleaseEndpoint {
         /// The endpoint.
         endpoint: EndpointId,
@@ -86,10 +87,13 @@
         /// The epoch of the ownership that ends.
         epoch: u64,
     },
-    /// The VM is known to be gone.
+    /// The VM of an entry is known to be gone.
     FenceVm {
         /// Name of the VM.
         name: String,
+        /// The process that was last seen on the VM. Without it, whichever process joined last is
+        /// fenced; with it, a fence that arrives after the VM was replaced has no effect.
+        incarnation: Option<u64>,
     },
     /// Claims an at-most-once action.
     Claim {
--- /dev/null
+++ b/crates/state/src/preferred_owner.rs
@@ -0,0 +1,29 @@
+use crate::Config;
+use mangospindle_model::{EndpointId, EntryId};
+use sha2::{Digest, Sha256};
+
+/// The home entry of an endpoint: rendezvous hashing over the active entries of its failure
+/// domain or, if none is active, of its region. `None` if the region has no active entry.
+///
+/// The score depends on names only, so that all processes and builds agree on it.
+pub fn preferred_owner(config: &Config, endpoint: EndpointId) -> Option<EntryId> {
+    let topology = &config.topology;
+    let target = topology.endpoints.get(endpoint.index())?;
+    let region = topology.region_of(target.failure_domain);
+    let best = |in_scope: &dyn Fn(EntryId) -> bool| {
+        (topology.entry_ids())
+            .filter(|id| config.is_active(*id) && in_scope(*id))
+            .max_by_key(|id| score(&target.name, &topology.entries[id.index()].name))
+    };
+    best(&|id| topology.entries[id.index()].failure_domain == target.failure_domain)
+        .or_else(|| best(&|id| topology.entry_region(id) == region))
+}
+
+fn score(endpoint: &str, entry: &str) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    // The length separates the two names.
+    hash.update((endpoint.len() as u64).to_le_bytes());
+    hash.update(endpoint);
+    hash.update(entry);
+    hash.finalize().into()
+}
