--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -5,6 +5,7 @@
 //! through one [`Proxy`], which adds latency and can cut, silence or slow the links of a failure
 //! domain. This is a development tool; no process of the system starts another.
 
+mod checks;
 mod cluster;
 mod cluster_settings;
 mod cluster_spec;
@@ -17,6 +18,7 @@
 mod standins;
 mod wait;
 
+pub use checks::violations;
 pub use cluster::Cluster;
 pub use cluster_spec::{ClusterSpec, Example};
 pub use fault::Fault;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -93,12 +93,12 @@
 }
 
 impl Inner {
-    pub(crate) fn region_started(&mut self, region: usize, second: usize, home: &str) {
+    pub(crate) fn region_started(&mut self, region: usize, second: usize, source: &str) {
         let count = &mut self.regions[region];
         count.in_progress += 1;
         let most = count.report.max_in_progress.max(count.in_progress);
         count.report.max_in_progress = most;
-        let arrivals = count.report.arrivals.entry(home.to_string()).or_default();
+        let arrivals = count.report.arrivals.entry(source.to_string()).or_default();
         if arrivals.len() <= second {
             arrivals.resize(second + 1, 0);
         }
--- a/crates/standin/src/in_progress.rs
+++ b/crates/standin/src/in_progress.rs
@@ -22,7 +22,10 @@
         if let Some(state) = inner.endpoints.get_mut(&endpoint) {
             time = state.start_request(now, home);
             let region = state.region.index();
-            inner.region_started(region, now.as_secs() as usize, home.unwrap_or("unknown"));
+            let endpoint = &fleet.topology.endpoints[endpoint.index()];
+            let service = &fleet.topology.services[endpoint.service.index()].name;
+            let source = format!("{service} {}", home.unwrap_or("unknown"));
+            inner.region_started(region, now.as_secs() as usize, &source);
         }
         let guard = InProgress {
             fleet: Arc::clone(fleet),
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -36,6 +36,7 @@
     pub max_in_progress: u32,
     /// Limit from the deployment.
     pub limit: u32,
-    /// Requests by home region of the client, in windows of one second since the start.
+    /// Requests by service and home region of the client (`service home`), in windows of one second
+    /// since the start.
     pub arrivals: BTreeMap<String, Vec<u32>>,
 }
--- /dev/null
+++ b/tests/drain.rs
@@ -0,0 +1,152 @@
+//! Guards against work that is cut by a planned stop, and against new work at leaving endpoints.
+
+use awc::Client;
+use mangospindle_bench::run_load;
+use mangospindle_harness::{Cluster, ClusterSpec, Example, Node, violations, wait_until};
+use mangospindle_model::EntryId;
+use mangospindle_standin::{Behaviour, HealthState};
+use nix::sys::signal::Signal;
+use std::time::Duration;
+
+/// Bound within which a leaving endpoint must stop receiving requests, from the design page.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
+#[actix_rt::test]
+async fn rolling_restart_of_all_entries_cuts_nothing() {
+    let mut cluster = Cluster::start(ClusterSpec::new(Example::Cantabrica))
+        .await
+        .expect("starts");
+    let plan = cluster.load(40.0, Duration::from_secs(45), 3);
+    let load = actix_rt::spawn(async move { run_load(&plan).await });
+    // One entry of each region; each stop takes the lookup lifetime of 5 s at least.
+    for entry in [0, 3, 6] {
+        let node = Node::Entry(entry);
+        cluster
+            .process(node)
+            .expect("runs")
+            .signal(Signal::SIGTERM)
+            .expect("sent");
+        let mut status = None;
+        for _ in 0..1_000 {
+            status = cluster
+                .process(node)
+                .expect("runs")
+                .try_wait()
+                .expect("waits");
+            if status.is_some() {
+                break;
+            }
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(
+            status.and_then(|s| s.code()),
+            Some(0),
+            "entry {entry} ends with 0"
+        );
+        cluster.start_entry(EntryId(entry)).expect("restarted");
+        cluster.wait_ready(EntryId(entry)).await.expect("ready");
+    }
+    let load = load.await.expect("the load ends");
+    let report = cluster.standins.report().await.expect("stand-ins report");
+    let found = violations(&report, &load);
+    assert!(found.is_empty(), "{found:#?}\n{load}");
+    for (class, c) in &load.classes {
+        assert!(c.failed.is_empty(), "{class} has failures\n{load}");
+    }
+}
+
+#[actix_rt::test]
+async fn long_upload_survives_the_stop_of_its_entry() {
+    let mut cluster = Cluster::start(ClusterSpec::new(Example::Cantabrica))
+        .await
+        .expect("starts");
+    let address = cluster.entry_address(EntryId(0));
+    let chunks = futures::stream::unfold(0, |i| async move {
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        let chunk = bytes::Bytes::from(vec![b'x'; 10_000]);
+        (i < 100).then_some((Ok::<_, std::io::Error>(chunk), i + 1))
+    });
+    let upload = actix_rt::spawn(async move {
+        let req = Client::builder().disable_timeout().finish();
+        let req = req.put(format!("http://{address}/s/fotocarga/file"));
+        let body = awc::body::SizedStream::new(1_000_000, Box::pin(chunks));
+        let mut answer = req.send_body(body).await.expect("answered");
+        (
+            answer.status().as_u16(),
+            answer.body().await.expect("complete"),
+        )
+    });
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    let entry = cluster.process(Node::Entry(0)).expect("runs");
+    entry.signal(Signal::SIGTERM).expect("sent");
+    let (status, body) = upload.await.expect("the upload ends");
+    assert_eq!(status, 200);
+    assert!(
+        String::from_utf8_lossy(&body).contains("\"received_bytes\":1000000"),
+        "{body:?}"
+    );
+}
+
+/// Who says that an endpoint leaves.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Endpoint,
+    VmList,
+}
+
+#[actix_rt::test]
+async fn leaving_endpoints_get_no_new_work() {
+    let cluster = Cluster::start(ClusterSpec::new(Example::Cantabrica))
+        .await
+        .expect("starts");
+    let plan = cluster.load(60.0, Duration::from_secs(16), 4);
+    let load = actix_rt::spawn(async move { run_load(&plan).await });
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    let cases = [
+        (Source::Endpoint, "galeradas-astur-1-1"),
+        (Source::VmList, "galeradas-cantab-1-1"),
+    ];
+    for (source, name) in cases {
+        let requests = || async {
+            let report = cluster.standins.report().await.expect("stand-ins report");
+            report.endpoints[name].requests
+        };
+        let before = requests().await;
+        wait_until("the endpoint is used", Duration::from_secs(10), || async {
+            requests().await > before
+        })
+        .await
+        .unwrap_or_else(|e| panic!("{source:?}: {e}"));
+        leave(&cluster, source, name).await;
+        actix_rt::time::sleep(DRAIN_BOUND).await;
+        let then = requests().await;
+        actix_rt::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(requests().await, then, "{source:?}: {name} got new work");
+    }
+    let load = load.await.expect("the load ends");
+    let report = cluster.standins.report().await.expect("stand-ins report");
+    let found = violations(&report, &load);
+    assert!(found.is_empty(), "{found:#?}\n{load}");
+    assert!(load.classes["read"].failed.is_empty(), "{load}");
+}
+
+async fn leave(cluster: &Cluster, source: Source, name: &str) {
+    match source {
+        Source::Endpoint => {
+            let behaviour = Behaviour {
+                health: HealthState::Leaving,
+                ..Behaviour::default()
+            };
+            let changed = cluster.standins.set_behaviour(&[name], behaviour).await;
+            changed.expect("changed");
+        }
+        Source::VmList => {
+            let topology = cluster.topology();
+            let entries = topology.entries.iter().map(|e| &e.name);
+            let names = entries.chain(topology.endpoints.iter().map(|e| &e.name));
+            let state = |n: &String| if n == name { "leaving" } else { "live" };
+            let vms: Vec<_> = names.map(|n| (n.clone(), state(n).to_string())).collect();
+            cluster.standins.set_vms(&vms).await.expect("changed");
+        }
+    }
+}
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,152 @@
+//! Guards against limits that are exceeded, actions that run twice and answers that are wrong, while
+//! entries, endpoints, readings and links fail. Everything is counted at the endpoints and at the
+//! callers, never inside the system.
+
+use mangospindle_bench::{LoadReport, run_load};
+use mangospindle_harness::{Cluster, ClusterSpec, Example, Fault, Node, violations};
+use mangospindle_model::EntryId;
+use mangospindle_standin::{Behaviour, Failure};
+use nix::sys::signal::Signal;
+use std::time::Duration;
+
+/// What happens during a load.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Nothing,
+    KillAndRestartEntry,
+    FreezeEntry,
+    CutOffDomain,
+    CutOffRegion,
+    FreezeReadings,
+    FailFastEndpoints,
+    StallEndpoints,
+    SilenceConnections,
+    KillControlLeaderCandidates,
+}
+
+struct Case {
+    name: &'static str,
+    event: Event,
+    /// Requests per second from each region; the slots of a region carry about 2,000.
+    rate: f64,
+    /// Least part of reads that must succeed.
+    min_reads: f64,
+}
+
+const LOAD_TIME: Duration = Duration::from_secs(8);
+
+async fn run_case(case: Case) {
+    let mut spec = ClusterSpec::new(Example::Cantabrica);
+    spec.latencies = true;
+    let mut cluster = Cluster::start(spec).await.expect("cluster starts");
+    let plan = cluster.load(case.rate, LOAD_TIME, 7);
+    let load = actix_rt::spawn(async move { run_load(&plan).await });
+    actix_rt::time::sleep(LOAD_TIME / 4).await;
+    apply(&mut cluster, case.event).await;
+    let load = load.await.expect("the load ends");
+    let report = cluster.standins.report().await.expect("stand-ins report");
+    println!("{}\n{load}", case.name);
+    let found = violations(&report, &load);
+    assert!(found.is_empty(), "{}: {found:#?}\n{load}", case.name);
+    let part = success_rate(&load, "read");
+    assert!(part >= case.min_reads, "{}: {part}\n{load}", case.name);
+}
+
+fn success_rate(load: &LoadReport, class: &str) -> f64 {
+    let class = &load.classes[class];
+    class.succeeded as f64 / class.started.max(1) as f64
+}
+
+async fn apply(cluster: &mut Cluster, event: Event) {
+    let pause = LOAD_TIME / 4;
+    let normal = Behaviour::default();
+    match event {
+        Event::Nothing => {}
+        Event::KillAndRestartEntry => {
+            cluster.kill(Node::Entry(0)).expect("killed");
+            actix_rt::time::sleep(pause).await;
+            cluster.start_entry(EntryId(0)).expect("restarted");
+        }
+        Event::FreezeEntry => {
+            let entry = cluster.process(Node::Entry(0)).expect("runs");
+            entry.signal(Signal::SIGSTOP).expect("stopped");
+            actix_rt::time::sleep(pause).await;
+            let entry = cluster.process(Node::Entry(0)).expect("runs");
+            entry.signal(Signal::SIGCONT).expect("continued");
+        }
+        Event::CutOffDomain => {
+            let domain = cluster.topology().entries[0].failure_domain;
+            cluster.set_partition(&[domain], Fault::CUT);
+            actix_rt::time::sleep(pause * 2).await;
+            cluster.set_partition(&[domain], Fault::default());
+        }
+        Event::CutOffRegion => {
+            let domains = cluster.domains_of_region(0);
+            cluster.set_partition(&domains, Fault::CUT);
+            actix_rt::time::sleep(pause * 2).await;
+            cluster.set_partition(&domains, Fault::default());
+        }
+        Event::FreezeReadings => {
+            let behaviour = Behaviour {
+                freeze_readings: true,
+                ..normal
+            };
+            let changed = cluster.standins.set_behaviour(&[], behaviour).await;
+            changed.expect("changed");
+        }
+        Event::FailFastEndpoints => set_failure(cluster, Failure::FailFast).await,
+        Event::StallEndpoints => set_failure(cluster, Failure::Stall).await,
+        Event::SilenceConnections => {
+            let silence = Fault {
+                silence_existing: true,
+                ..Fault::default()
+            };
+            cluster.proxy.set_where(|_| true, silence);
+        }
+        Event::KillControlLeaderCandidates => {
+            for replica in [1, 2] {
+                cluster.kill(Node::Control(replica)).expect("killed");
+            }
+        }
+    }
+}
+
+/// Makes one endpoint in 12 of the service that is read fail.
+async fn set_failure(cluster: &Cluster, failure: Failure) {
+    let behaviour = Behaviour {
+        failure,
+        ..Behaviour::default()
+    };
+    let bad = ["galeradas-astur-1-1"];
+    let changed = cluster.standins.set_behaviour(&bad, behaviour).await;
+    changed.expect("changed");
+}
+
+macro_rules! cases {
+    ($($name:ident: $event:ident, $rate:expr, $min_reads:expr;)*) => {
+        $(#[actix_rt::test]
+        async fn $name() {
+            run_case(Case {
+                name: stringify!($name),
+                event: Event::$event,
+                rate: $rate,
+                min_reads: $min_reads,
+            })
+            .await;
+        })*
+    };
+}
+
+cases! {
+    calm: Nothing, 60.0, 1.0;
+    overload: Nothing, 900.0, 0.2;
+    entry_is_killed_and_restarts: KillAndRestartEntry, 60.0, 0.95;
+    entry_freezes: FreezeEntry, 60.0, 0.9;
+    failure_domain_is_cut_off: CutOffDomain, 60.0, 0.9;
+    region_is_cut_off: CutOffRegion, 60.0, 0.9;
+    readings_freeze: FreezeReadings, 60.0, 0.99;
+    endpoint_fails_fast: FailFastEndpoints, 60.0, 0.95;
+    endpoint_stalls: StallEndpoints, 60.0, 0.95;
+    connections_go_silent: SilenceConnections, 60.0, 0.95;
+    two_control_replicas_die: KillControlLeaderCandidates, 60.0, 1.0;
+}
