Add HTTP connections of the entry

Cause: the entry must count connections and know when each last proved alive.

Ruled out: the pool of awc, which hides its connections.

Before: no entry. Not measured.

--- /dev/null
+++ b/crates/entry/src/answer.rs
@@ -0,0 +1,55 @@
+use crate::client::{BodyFraming, ExchangeError};
+use crate::headers;
+use actix_web::body::{BodyStream, BoxBody, MessageBody, SizedStream};
+use actix_web::http::StatusCode;
+use actix_web::http::header::HeaderMap;
+use actix_web::{HttpResponse, HttpResponseBuilder};
+use bytes::Bytes;
+use futures::Stream;
+use std::pin::Pin;
+
+/// The body of an answer, chunk by chunk. An error means that the answer is not complete.
+pub(crate) type AnswerStream = Pin<Box<dyn Stream<Item = Result<Bytes, ExchangeError>>>>;
+
+/// An answer on its way to the caller.
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    /// End-to-end headers.
+    pub(crate) headers: HeaderMap,
+    pub(crate) framing: BodyFraming,
+    /// `Content-Length` of an answer without a body.
+    pub(crate) declared: Option<u64>,
+    pub(crate) body: AnswerStream,
+}
+
+impl Answer {
+    /// Passes the answer on. If the stream ends with an error, the connection to the caller is
+    /// closed before the end of the answer.
+    pub(crate) fn into_response(self) -> HttpResponse {
+        let mut response = HttpResponseBuilder::new(self.status);
+        for (name, value) in self.headers {
+            response.append_header((name, value));
+        }
+        let body = match (self.framing, self.declared) {
+            (BodyFraming::Length(n), _) => BoxBody::new(SizedStream::new(n, self.body)),
+            (BodyFraming::Chunked, _) => BoxBody::new(BodyStream::new(self.body)),
+            // Announces the length that a `GET` would have.
+            (BodyFraming::None, Some(n)) => BoxBody::new(SizedStream::new(n, self.body)),
+            (BodyFraming::None, None) => BoxBody::new(()),
+        };
+        response.body(body)
+    }
+
+    /// Reads the whole body into memory; `None` for the bytes if it exceeds `limit`.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        headers::text(&self.headers, name)
+    }
+}
+
+/// Whether a body says that it is empty.
+pub(crate) fn is_empty<B>(body: &B) -> bool
+where
+    B: MessageBody,
+{
+    body.size().is_eof()
+}
--- /dev/null
+++ b/crates/entry/src/client/connection.rs
@@ -0,0 +1,46 @@
+use bytes::BytesMut;
+use socket2::SockRef;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// An open connection and the bytes that were read from it but not used.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) stream: TcpStream,
+    pub(crate) buf: BytesMut,
+    /// When the other side last answered, on the local clock.
+    pub(crate) proved_at: Duration,
+    /// When the connection last carried a request of a caller, on the local clock.
+    pub(crate) used_at: Duration,
+}
+
+impl Connection {
+    /// Opens a connection. `now` is the time before the call, so that the handshake proves that
+    /// the other side was reachable at that time or later.
+    pub(crate) async fn open(
+        address: SocketAddr,
+        now: Duration,
+        timeout: Duration,
+    ) -> io::Result<Self> {
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        Ok(Connection {
+            stream,
+            buf: BytesMut::new(),
+            proved_at: now,
+            used_at: now,
+        })
+    }
+
+    /// Whether the other side has neither closed the connection nor sent anything unasked, such as
+    /// the rest of a late answer.
+    pub(crate) fn is_quiet(&self) -> bool {
+        // Asks the socket itself: the readiness that tokio holds can lag behind.
+        let mut byte = [MaybeUninit::<u8>::uninit(); 1];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        self.buf.is_empty() && matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/client/lease.rs
@@ -0,0 +1,68 @@
+use super::{Connection, Pool, Target};
+use std::sync::Arc;
+
+/// The right to use one connection for one request. Dropping it closes the connection.
+pub(crate) struct Lease {
+    pool: Arc<Pool>,
+    target: Target,
+    connection: Option<Connection>,
+    reused: bool,
+    given_back: bool,
+}
+
+impl Lease {
+    /// A lease of a connection that the pool held.
+    pub(crate) fn reused(pool: Arc<Pool>, target: Target, connection: Connection) -> Self {
+        Lease {
+            pool,
+            target,
+            connection: Some(connection),
+            reused: true,
+            given_back: false,
+        }
+    }
+
+    /// A lease of a connection that is counted but still has to be opened.
+    pub(crate) fn unopened(pool: Arc<Pool>, target: Target) -> Self {
+        Lease {
+            pool,
+            target,
+            connection: None,
+            reused: false,
+            given_back: false,
+        }
+    }
+
+    /// Whether the connection has carried an earlier request.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// The connection; `None` while it is being opened.
+    pub(crate) fn connection(&mut self) -> Option<&mut Connection> {
+        self.connection.as_mut()
+    }
+
+    /// Sets the connection that was opened for this lease.
+    pub(crate) fn set_connection(&mut self, connection: Connection) {
+        self.connection = Some(connection);
+    }
+
+    /// Makes the connection available for another request.
+    pub(crate) fn give_back(mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.given_back = true;
+            self.pool.put(self.target, connection);
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        // The connection is closed before it is counted as closed.
+        self.connection = None;
+        if !self.given_back {
+            self.pool.count_closed(self.target);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/client/pool.rs
@@ -0,0 +1,95 @@
+use super::{Connection, Lease, Target};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Most idle connections that are kept for one target. More are only needed in bursts.
+const MAX_IDLE: usize = 32;
+
+/// Idle connections by target. Connections in use are held by their [`Lease`].
+pub(crate) struct Pool {
+    idle: Mutex<HashMap<Target, Vec<Connection>>>,
+    on_closed: Box<dyn Fn(Target) + Send + Sync>,
+}
+
+impl Pool {
+    /// Creates an empty pool; `on_closed` is called for each connection that is closed.
+    pub(crate) fn new(on_closed: Box<dyn Fn(Target) + Send + Sync>) -> Arc<Self> {
+        Arc::new(Pool {
+            idle: Mutex::default(),
+            on_closed,
+        })
+    }
+
+    /// Takes the idle connection that was used last, if its other side has answered at
+    /// `proved_after` or later.
+    pub(crate) fn take(self: &Arc<Self>, target: Target, proved_after: Duration) -> Option<Lease> {
+        loop {
+            let connection = {
+                let mut idle = self.lock();
+                let list = idle.get_mut(&target)?;
+                list.pop_if(|c| c.proved_at >= proved_after)?
+            };
+            if connection.is_quiet() {
+                return Some(Lease::reused(Arc::clone(self), target, connection));
+            }
+            self.close(target, connection);
+        }
+    }
+
+    /// Takes the connection that has been idle for longest, to check or close it.
+    pub(crate) fn take_oldest(self: &Arc<Self>, target: Target) -> Option<Lease> {
+        let mut idle = self.lock();
+        let list = idle.get_mut(&target).filter(|list| !list.is_empty())?;
+        let connection = list.remove(0);
+        Some(Lease::reused(Arc::clone(self), target, connection))
+    }
+
+    /// Takes the connections that have not proved alive since `proved_before`.
+    pub(crate) fn take_unproved(self: &Arc<Self>, proved_before: Duration) -> Vec<(Target, Lease)> {
+        let mut idle = self.lock();
+        let mut unproved = Vec::new();
+        for (target, list) in idle.iter_mut() {
+            for connection in list.extract_if(.., |c| c.proved_at < proved_before) {
+                let lease = Lease::reused(Arc::clone(self), *target, connection);
+                unproved.push((*target, lease));
+            }
+        }
+        unproved
+    }
+
+    /// Closes all idle connections to a target.
+    pub(crate) fn clear(&self, target: Target) {
+        let list = self.lock().remove(&target);
+        for connection in list.into_iter().flatten() {
+            self.close(target, connection);
+        }
+    }
+
+    pub(crate) fn put(&self, target: Target, connection: Connection) {
+        let mut idle = self.lock();
+        let list = idle.entry(target).or_default();
+        // The list stays ordered by the time of the last proof.
+        let at = list.partition_point(|c| c.proved_at <= connection.proved_at);
+        list.insert(at, connection);
+        if list.len() > MAX_IDLE {
+            let oldest = list.remove(0);
+            drop(idle);
+            self.close(target, oldest);
+        }
+    }
+
+    pub(crate) fn count_closed(&self, target: Target) {
+        (self.on_closed)(target);
+    }
+
+    fn close(&self, target: Target, connection: Connection) {
+        drop(connection);
+        self.count_closed(target);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Target, Vec<Connection>>> {
+        // No code panics while it holds the lock with the map in a broken state.
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/headers.rs
@@ -0,0 +1,99 @@
+//! Header names and rules.
+
+use actix_web::http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+
+/// Remaining time of the request in milliseconds.
+pub(crate) const DEADLINE: &str = "x-deadline-ms";
+/// Identifier of the request, made by the first entry if the caller sends none.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+/// Whether a request that got an error can have run.
+pub(crate) const REQUEST_RUN: &str = "x-request-run";
+/// Stable name of the error; only entries set it, so that an answer of an endpoint is never taken
+/// for one of an entry.
+pub(crate) const ENTRY_ERROR: &str = "x-entry-error";
+/// Region that served the request.
+pub(crate) const SERVED_REGION: &str = "x-served-region";
+/// Endpoint that served the request.
+pub(crate) const SERVED_BY: &str = "x-served-by";
+/// Home region of the client.
+pub(crate) const HOME_REGION: &str = "x-home-region";
+/// Name of the entry that the caller reached.
+pub(crate) const INGRESS: &str = "x-ingress-entry";
+/// Reservation at the owner.
+pub(crate) const PERMIT: &str = "x-permit";
+/// Tells that an answer was stored by an earlier request with the same key.
+pub(crate) const REPLAYED: &str = "x-replayed";
+/// Key of an at-most-once action.
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Largest sum of header names and values of a request, in bytes.
+pub(crate) const MAX_HEADER_BYTES: usize = 16 * 1024;
+
+/// Hop-by-hop headers, and headers that each hop sets anew.
+const NOT_FORWARDED: [&str; 15] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "host",
+    "content-length",
+    DEADLINE,
+    PERMIT,
+    INGRESS,
+];
+
+/// Headers that only entries set; what callers and endpoints send under these names is dropped.
+const SET_BY_ENTRIES: [&str; 6] = [
+    REQUEST_RUN,
+    ENTRY_ERROR,
+    SERVED_REGION,
+    SERVED_BY,
+    HOME_REGION,
+    REPLAYED,
+];
+
+/// Copies the headers that are meant for the other end.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut copy = HeaderMap::with_capacity(headers.len());
+    let named: Vec<&str> = (headers.get_all(CONNECTION))
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .map(str::trim)
+        .collect();
+    for (name, value) in headers {
+        let text = name.as_str();
+        let dropped = NOT_FORWARDED.contains(&text)
+            || SET_BY_ENTRIES.contains(&text)
+            || named.iter().any(|n| n.eq_ignore_ascii_case(text));
+        if !dropped {
+            copy.append(name.clone(), value.clone());
+        }
+    }
+    copy
+}
+
+/// Sets a header. A value that is not allowed in headers is left out.
+pub(crate) fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// Text of a header.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Sum of the lengths of all names and values.
+pub(crate) fn total_bytes(headers: &HeaderMap) -> usize {
+    headers
+        .iter()
+        .map(|(n, v)| n.as_str().len() + v.len())
+        .sum()
+}
--- /dev/null
+++ b/crates/entry/src/problem.rs
@@ -0,0 +1,42 @@
+//! Error answers. All of them are built from the table of [`ErrorKind`].
+
+use crate::headers::{ENTRY_ERROR, REQUEST_ID, REQUEST_RUN};
+use crate::refusal::Refusal;
+use actix_web::http::StatusCode;
+use actix_web::http::header::{CONTENT_TYPE, RETRY_AFTER};
+use actix_web::{HttpResponse, HttpResponseBuilder};
+use mangospindle_model::ErrorKind;
+use serde_json::json;
+
+/// Start of the `type` member of error answers.
+const TYPE_PREFIX: &str = "urn:mangospindle:error:";
+
+/// Builds the answer for a refusal.
+pub(crate) fn problem(refusal: &Refusal, request_id: &str) -> HttpResponse {
+    let row = refusal.kind.row();
+    let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut answer = HttpResponseBuilder::new(status);
+    answer
+        .insert_header((CONTENT_TYPE, "application/problem+json"))
+        .insert_header((REQUEST_RUN, row.can_have_run.as_str()))
+        .insert_header((ENTRY_ERROR, row.name));
+    if !request_id.is_empty() {
+        answer.insert_header((REQUEST_ID, request_id));
+    }
+    if row.retry_after {
+        let seconds = refusal.retry_after.as_secs_f64().ceil().max(1.0) as u64;
+        answer.insert_header((RETRY_AFTER, seconds.to_string()));
+    }
+    if refusal.kind == ErrorKind::HeadersTooLarge {
+        answer.force_close();
+    }
+    let body = json!({
+        "type": format!("{TYPE_PREFIX}{}", row.name),
+        "title": row.title,
+        "status": row.status,
+        "detail": refusal.detail,
+        "request_run": row.can_have_run.as_str(),
+        "request_id": request_id,
+    });
+    answer.body(body.to_string())
+}
