Add the signatures of the consensus node

Cause: the control process is built against Node at the same time. Ruled out: changing the echo fields of Append and AppendReply; a random origin of the sender's own time tells starts of a process apart without another field.

--- /dev/null
+++ b/crates/consensus/src/formation.rs
@@ -0,0 +1,12 @@
+use crate::Member;
+use serde::{Deserialize, Serialize};
+
+/// A proposed initial membership. It takes effect only once every member named in it has accepted
+/// it durably.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Formation {
+    /// Number of the proposal. A replica accepts only higher ones than it has accepted before.
+    pub ballot: u64,
+    /// The initial voters, sorted by replica.
+    pub voters: Vec<Member>,
+}
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -11,19 +11,27 @@
 //! - Only members, named by replica and storage identifier, vote and count.
 
 mod entry;
+mod formation;
 mod hard_state;
 mod input;
 mod member;
 mod message;
+mod node;
 mod output;
+mod recovered;
 mod role;
+mod settings;
 mod snapshot;
 
 pub use entry::{Entry, Payload};
+pub use formation::Formation;
 pub use hard_state::HardState;
 pub use input::Input;
 pub use member::{Member, Membership, ReplicaId, StorageId};
 pub use message::{Message, MessageKind};
+pub use node::Node;
 pub use output::{Output, ProposalError, ProposalId};
+pub use recovered::{RecoverError, Recovered};
 pub use role::Role;
+pub use settings::{NodeSettings, Timing};
 pub use snapshot::Snapshot;
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -1,4 +1,4 @@
-use crate::{Entry, Member, Snapshot};
+use crate::{Entry, Formation, Member, Snapshot};
 use serde::{Deserialize, Serialize};
 
 /// A message between replicas.
@@ -55,10 +55,11 @@
         commit: u64,
         /// Number of the heartbeat round, for confirming leadership.
         round: u64,
-        /// The receiver's own time from the last reply that the leader has seen. It bounds the age
+        /// `sent_ms` of the receiver's last reply that the leader has seen, or 0. It bounds the age
         /// of this message on the receiver's clock.
         echo_ms: u64,
-        /// How long ago the leader knew that a majority followed it, in milliseconds.
+        /// How long ago the leader knew that a majority followed it, in milliseconds; `u64::MAX`
+        /// if it does not know yet.
         confirmed_age_ms: u64,
     },
     /// Answer to `Append`.
@@ -70,7 +71,8 @@
         index: u64,
         /// The round that is answered.
         round: u64,
-        /// The sender's own time.
+        /// The sender's own time, with an origin that is drawn at each start of its process, so
+        /// that the echo of an earlier process is not taken for a recent one.
         sent_ms: u64,
     },
     /// Sends a snapshot to a node whose next entries are no longer in the log.
@@ -82,6 +84,12 @@
     },
     /// Asks the receiver to start an election at once (planned change of leader).
     TimeoutNow,
-    /// Tells the leader about a node that is not a member yet.
-    Hello,
+    /// Sent to all configured replicas by a node that is in no membership; such a node also gets
+    /// it as an answer. The receiver's storage identifier is nil, as it is not known.
+    Hello {
+        /// The initial membership that the sender has accepted, if any.
+        formation: Option<Formation>,
+        /// Whether the sender's storage has ever been part of a membership.
+        formed: bool,
+    },
 }
--- a/crates/consensus/src/output.rs
+++ b/crates/consensus/src/output.rs
@@ -18,14 +18,18 @@
 /// What the driver of a `Node` has to do, in this order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
-    /// Write the hard state. Messages that follow in the same batch are sent only once it is
-    /// synced.
+    /// Write the hard state. Messages that follow, in this batch and in later ones, are sent only
+    /// once it is synced.
     PersistHardState(HardState),
-    /// Remove all entries from this position on, then append the entries, then report
-    /// `Input::Persisted` once they are synced.
+    /// Remove all entries from the position of the first one on, then append the entries, then
+    /// report `Input::Persisted` once they are synced. Messages need not wait for it, and one sync
+    /// may cover several batches.
     PersistEntries(Vec<Entry>),
     /// Replace log and state by the snapshot, synced before messages that follow are sent.
     PersistSnapshot(Snapshot),
+    /// Write the snapshot that came with `Input::Compact`, then drop the entries up to its
+    /// position; the later ones stay. Messages need not wait for it.
+    SaveSnapshot(Snapshot),
     /// Send a message.
     Send(Message),
     /// Apply a committed entry. Positions are contiguous.
--- /dev/null
+++ b/crates/consensus/src/settings.rs
@@ -0,0 +1,52 @@
+use crate::{Member, ReplicaId};
+use std::time::Duration;
+
+/// Settings of a [`Node`](crate::Node).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// The replica and the identifier of its data directory.
+    pub member: Member,
+    /// All configured replicas, this one included. They form a new cluster and receive `Hello`.
+    pub replicas: Vec<ReplicaId>,
+    /// Intervals and limits.
+    pub timing: Timing,
+}
+
+/// Intervals and limits of a [`Node`](crate::Node).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Interval between heartbeat rounds, and between `Hello` messages.
+    pub heartbeat: Duration,
+    /// Shortest election timeout.
+    pub election_min: Duration,
+    /// Longest election timeout. A leader that no majority has answered for this long steps down.
+    pub election_max: Duration,
+    /// How long the leader waits for the answer to a snapshot before it sends the snapshot again.
+    pub snapshot_retry: Duration,
+    /// Bytes of entries sent to a follower and not yet acknowledged. At least one entry is always
+    /// in flight, whatever its size.
+    pub max_in_flight_bytes: usize,
+    /// Appends with entries sent to a follower and not yet acknowledged. Proposals beyond wait and
+    /// share the next append.
+    pub max_in_flight_appends: usize,
+    /// Bytes of entries in one append. An append has at least one entry, whatever its size.
+    pub max_append_bytes: usize,
+    /// Entries that stay in the log behind a snapshot, so that a follower that is only a little
+    /// behind needs no snapshot.
+    pub keep_entries: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(100),
+            election_min: Duration::from_millis(500),
+            election_max: Duration::from_millis(1000),
+            snapshot_retry: Duration::from_secs(5),
+            max_in_flight_bytes: 4 << 20,
+            max_in_flight_appends: 32,
+            max_append_bytes: 1 << 20,
+            keep_entries: 1000,
+        }
+    }
+}
