--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -35,6 +35,7 @@
 #[allow(
     missing_docs,
     clippy::all,
+    clippy::unimplemented,
     clippy::unwrap_used,
     clippy::redundant_clone,
     unused_import_braces,
