--- /dev/null
+++ b/crates/entry/src/admit.rs
@@ -0,0 +1,113 @@
+//! Asking the admission control of this entry for a permit.
+
+use crate::permit_guard::PermitGuard;
+use crate::refusal::Refusal;
+use crate::request_context::RequestContext;
+use crate::shared::Shared;
+use mangospindle_model::{ErrorKind, RequestClass};
+use mangospindle_quota::{AdmissionRequest, Decision, Permit, RequestResult, Ticket};
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Answer of the admission control, with the receiver of the permit of a queued request.
+enum Admitted {
+    Now(Permit),
+    Later(Ticket, oneshot::Receiver<Result<Permit, ErrorKind>>),
+    Refused(ErrorKind),
+}
+
+/// Gets a permit for a request, waiting in the queue if the profile allows it.
+pub(crate) async fn admit(
+    shared: &Arc<Shared>,
+    cx: &RequestContext,
+) -> Result<PermitGuard, Refusal> {
+    let remaining = cx.remaining(shared.now())?;
+    let request = AdmissionRequest {
+        service: cx.service,
+        class: cx.class,
+        home: cx.home,
+        remaining,
+    };
+    let admitted = shared.decide(|d, now| match d.admission.request(now, request) {
+        Decision::Dispatch(permit) => Admitted::Now(permit),
+        Decision::Refused(kind) => Admitted::Refused(kind),
+        Decision::Queued(ticket) => {
+            let (sender, receiver) = oneshot::channel();
+            d.waiting.insert(ticket, sender);
+            Admitted::Later(ticket, receiver)
+        }
+    })?;
+    let result = match admitted {
+        Admitted::Now(permit) => {
+            shared.metrics.slots_in_use.inc();
+            Ok(permit)
+        }
+        Admitted::Refused(kind) => Err(kind),
+        Admitted::Later(ticket, receiver) => {
+            shared.queued.notify_one();
+            let mut waiter = Waiter {
+                shared: Arc::clone(shared),
+                ticket,
+                receiver,
+            };
+            match (&mut waiter.receiver).await {
+                Ok(result) => result,
+                Err(_) => Err(ErrorKind::NoCapacity),
+            }
+        }
+    };
+    match result {
+        Ok(permit) => {
+            count_cross_region(shared, cx);
+            Ok(PermitGuard::new(Arc::clone(shared), permit))
+        }
+        Err(kind) => {
+            let name = kind.row().name;
+            shared.metrics.owner_refused.with_label_values(&[name]).inc();
+            if kind == ErrorKind::Shed {
+                let class = cx.class.as_str();
+                shared.metrics.shed.with_label_values(&[class]).inc();
+            }
+            Err(shared.with_retry_after(kind.into(), cx.service))
+        }
+    }
+}
+
+fn count_cross_region(shared: &Shared, cx: &RequestContext) {
+    let home = shared.decide(|d, _| {
+        let topology = &d.config.topology;
+        let away = topology.entry_region(d.entry) != cx.home;
+        let region = topology.regions.get(cx.home.index()).filter(|_| away);
+        region.map(|r| r.name.clone())
+    });
+    if let Ok(Some(home)) = home {
+        shared.metrics.cross_region.with_label_values(&[home.as_str()]).inc();
+    }
+}
+
+/// Waits for the permit of a queued request. When it is dropped early, neither the place in the
+/// queue nor a permit that has just been granted is lost.
+struct Waiter {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    receiver: oneshot::Receiver<Result<Permit, ErrorKind>>,
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let ticket = self.ticket;
+        let _queued = self.shared.decide(|d, _| {
+            d.waiting.remove(&ticket);
+            d.admission.cancel(ticket)
+        });
+        self.receiver.close();
+        if let Ok(Ok(permit)) = self.receiver.try_recv() {
+            self.shared.finish(permit, RequestResult::Cancelled);
+        }
+    }
+}
+
+/// Whether requests of a class may be sent a second time without proof that the first did not run.
+pub(crate) fn is_repeatable(class: RequestClass) -> bool {
+    class == RequestClass::Read
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,6 +1,6 @@
 use crate::client::{BodyFraming, ExchangeError};
 use crate::headers;
-use actix_web::body::{BodyStream, BoxBody, MessageBody, SizedStream};
+use actix_web::body::{BodyStream, BoxBody, SizedStream};
 use actix_web::http::StatusCode;
 use actix_web::http::header::HeaderMap;
 use actix_web::{HttpResponse, HttpResponseBuilder};
@@ -40,16 +40,8 @@
         response.body(body)
     }
 
-    /// Reads the whole body into memory; `None` for the bytes if it exceeds `limit`.
+    /// Text of a header.
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
         headers::text(&self.headers, name)
     }
 }
-
-/// Whether a body says that it is empty.
-pub(crate) fn is_empty<B>(body: &B) -> bool
-where
-    B: MessageBody,
-{
-    body.size().is_eof()
-}
--- /dev/null
+++ b/crates/entry/src/attempt_guard.rs
@@ -0,0 +1,86 @@
+use crate::client::ExchangeError;
+use crate::refusal::Refusal;
+use crate::shared::Shared;
+use mangospindle_model::{EntryId, ErrorKind, ServiceId};
+use mangospindle_routing::OwnerEvent;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An attempt that the router counts as in flight. Reports exactly one end; when it is dropped
+/// without one, it was cancelled.
+pub(crate) struct AttemptGuard {
+    shared: Arc<Shared>,
+    owner: EntryId,
+    service: ServiceId,
+    sent_at: Duration,
+    ended: bool,
+}
+
+impl AttemptGuard {
+    /// Starts to track an attempt that the router has chosen an owner for.
+    pub(crate) fn new(shared: &Arc<Shared>, owner: EntryId, service: ServiceId) -> Self {
+        AttemptGuard {
+            sent_at: shared.now(),
+            shared: Arc::clone(shared),
+            owner,
+            service,
+            ended: false,
+        }
+    }
+
+    /// The answer has started.
+    pub(crate) fn started(&self) {
+        let after = self.elapsed();
+        self.observe(OwnerEvent::AnswerStarted { after });
+    }
+
+    /// The whole answer was passed on.
+    pub(crate) fn complete(mut self) {
+        let after = self.elapsed();
+        self.end(OwnerEvent::AnswerComplete { after });
+    }
+
+    /// The answer ended early.
+    pub(crate) fn aborted(mut self, e: ExchangeError) {
+        let reason = e.as_str();
+        self.shared.metrics.aborted.with_label_values(&[reason]).inc();
+        self.end(match e {
+            ExchangeError::Body(_) => OwnerEvent::Cancelled,
+            _ => OwnerEvent::Failed,
+        });
+    }
+
+    /// There is no answer.
+    pub(crate) fn refused(mut self, refusal: &Refusal) {
+        let kind = refusal.kind;
+        self.end(match kind {
+            _ if refusal.is_not_run() => OwnerEvent::Refused { kind },
+            ErrorKind::DeadlineExceeded => OwnerEvent::TimedOut,
+            ErrorKind::BodyLengthMismatch => OwnerEvent::Cancelled,
+            _ => OwnerEvent::Failed,
+        });
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.shared.now().saturating_sub(self.sent_at)
+    }
+
+    fn end(&mut self, event: OwnerEvent) {
+        self.ended = true;
+        self.observe(event);
+    }
+
+    fn observe(&self, event: OwnerEvent) {
+        let (owner, service) = (self.owner, self.service);
+        // Without a configuration there is no router that counts the attempt.
+        let _missing = (self.shared).decide(|d, now| d.router.observe(now, owner, service, event));
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(OwnerEvent::Cancelled);
+        }
+    }
+}
--- a/crates/entry/src/client/lease.rs
+++ b/crates/entry/src/client/lease.rs
@@ -1,5 +1,6 @@
 use super::{Connection, Pool, Target};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The right to use one connection for one request. Dropping it closes the connection.
 pub(crate) struct Lease {
@@ -8,6 +9,8 @@
     connection: Option<Connection>,
     reused: bool,
     given_back: bool,
+    /// Time of the last use that is kept, for checks that are no use.
+    used_at: Option<Duration>,
 }
 
 impl Lease {
@@ -19,6 +22,7 @@
             connection: Some(connection),
             reused: true,
             given_back: false,
+            used_at: None,
         }
     }
 
@@ -30,6 +34,7 @@
             connection: None,
             reused: false,
             given_back: false,
+            used_at: None,
         }
     }
 
@@ -48,10 +53,16 @@
         self.connection = Some(connection);
     }
 
+    /// Keeps the time of the last use as it is now: what follows is only a check.
+    pub(crate) fn keep_use_time(&mut self) {
+        self.used_at = self.connection.as_ref().map(|c| c.used_at);
+    }
+
     /// Makes the connection available for another request.
     pub(crate) fn give_back(mut self) {
-        if let Some(connection) = self.connection.take() {
+        if let Some(mut connection) = self.connection.take() {
             self.given_back = true;
+            connection.used_at = self.used_at.unwrap_or(connection.used_at);
             self.pool.put(self.target, connection);
         }
     }
--- /dev/null
+++ b/crates/entry/src/decisions.rs
@@ -0,0 +1,61 @@
+use mangospindle_model::{EntryId, ErrorKind, ServiceId};
+use mangospindle_quota::{Admission, LinkShaper, Permit, Ticket};
+use mangospindle_routing::{ClientTable, RetryBudget, Router};
+use mangospindle_state::Config;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Weight of a new sample in the moving average of first-byte times.
+const LATENCY_ALPHA: f64 = 0.1;
+
+/// The parts that decide about requests, and the configuration that they follow.
+pub(crate) struct Decisions {
+    pub(crate) entry: EntryId,
+    pub(crate) config: Arc<Config>,
+    pub(crate) table: Arc<ClientTable>,
+    pub(crate) router: Router,
+    pub(crate) admission: Admission,
+    pub(crate) shaper: LinkShaper,
+    /// Receivers of the permits of queued requests.
+    pub(crate) waiting: HashMap<Ticket, oneshot::Sender<Result<Permit, ErrorKind>>>,
+    /// When the configuration was last known to be current, on the local clock.
+    pub(crate) confirmed_at: Option<Duration>,
+    /// Moves of reads from silent connections to new ones, by service.
+    pub(crate) moves: HashMap<ServiceId, RetryBudget>,
+    /// Moving average of first-byte times by service, in seconds.
+    first_byte_s: HashMap<ServiceId, f64>,
+}
+
+impl Decisions {
+    /// Creates the parts for the first configuration.
+    pub(crate) fn new(entry: EntryId, config: Arc<Config>, now: Duration, seed: u64) -> Self {
+        Decisions {
+            entry,
+            table: Arc::new(ClientTable::build(&config.topology)),
+            config,
+            router: Router::new(entry, seed),
+            admission: Admission::new(entry, now, seed),
+            shaper: LinkShaper::new(entry),
+            waiting: HashMap::new(),
+            confirmed_at: None,
+            moves: HashMap::new(),
+            first_byte_s: HashMap::new(),
+        }
+    }
+
+    /// Records the time to the first byte of an answer.
+    pub(crate) fn record_first_byte(&mut self, service: ServiceId, time: Duration) {
+        let sample = time.as_secs_f64();
+        let mean = self.first_byte_s.entry(service).or_insert(sample);
+        *mean += LATENCY_ALPHA * (sample - *mean);
+    }
+
+    /// Usual time to the first byte of an answer.
+    pub(crate) fn usual_first_byte(&self, service: ServiceId) -> Option<Duration> {
+        self.first_byte_s
+            .get(&service)
+            .map(|s| Duration::from_secs_f64(*s))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/inbound.rs
@@ -0,0 +1,96 @@
+//! Reading requests of callers and of other entries.
+
+use crate::client::{BodyError, BodyFraming, BodyStream};
+use crate::headers::{self, MAX_HEADER_BYTES};
+use crate::outbound::{Outbound, OutboundBody};
+use crate::refusal::Refusal;
+use actix_web::HttpRequest;
+use actix_web::error::PayloadError;
+use actix_web::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_web::web::Payload;
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use mangospindle_model::ErrorKind;
+
+/// Refuses requests with too large headers.
+pub(crate) fn check_headers(req: &HttpRequest) -> Result<(), Refusal> {
+    let uri = req.uri().path_and_query().map_or(0, |p| p.as_str().len());
+    match headers::total_bytes(req.headers()) + uri > MAX_HEADER_BYTES {
+        true => Err(Refusal::new(
+            ErrorKind::HeadersTooLarge,
+            format!("the limit is {MAX_HEADER_BYTES} bytes with the path"),
+        )),
+        false => Ok(()),
+    }
+}
+
+/// Builds the request to pass on; `prefix` is the part of the path before the endpoint's path.
+pub(crate) fn outbound(req: &HttpRequest, prefix: &str, payload: Payload) -> Outbound {
+    let path = req.uri().path_and_query().map_or("/", |p| p.as_str());
+    let path = path.strip_prefix(prefix).unwrap_or(path);
+    let path = match path.starts_with('/') {
+        true => path.to_string(),
+        false => format!("/{path}"),
+    };
+    Outbound {
+        method: req.method().clone(),
+        path,
+        headers: headers::end_to_end(req.headers()),
+        body: match framing(req) {
+            BodyFraming::None => OutboundBody::None,
+            framing => OutboundBody::Stream(framing, stream(payload)),
+        },
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes into memory.
+pub(crate) async fn buffer(body: OutboundBody, limit: usize) -> Result<Bytes, Refusal> {
+    let (framing, mut stream) = match body {
+        OutboundBody::Stream(framing, stream) => (framing, stream),
+        OutboundBody::Bytes(bytes) => return Ok(bytes),
+        OutboundBody::None | OutboundBody::Taken => return Ok(Bytes::new()),
+    };
+    let too_long = || Refusal::new(ErrorKind::BadRequest, format!("the limit is {limit} bytes"));
+    if matches!(framing, BodyFraming::Length(n) if n > limit as u64) {
+        return Err(too_long());
+    }
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = stream.next().await {
+        match chunk {
+            Ok(chunk) => bytes.extend_from_slice(&chunk),
+            // Nothing has been passed on, so that the request provably did not run.
+            Err(e) => return Err(Refusal::new(ErrorKind::BadRequest, body_error(e))),
+        }
+        if bytes.len() > limit {
+            return Err(too_long());
+        }
+    }
+    match framing {
+        BodyFraming::Length(n) if n != bytes.len() as u64 => Err(Refusal::new(
+            ErrorKind::BadRequest,
+            body_error(BodyError::LengthMismatch),
+        )),
+        _ => Ok(bytes.freeze()),
+    }
+}
+
+fn body_error(e: BodyError) -> &'static str {
+    match e {
+        BodyError::Incomplete => "the body ended early",
+        BodyError::LengthMismatch => "the body has another length than declared",
+    }
+}
+
+fn framing(req: &HttpRequest) -> BodyFraming {
+    let length = headers::text(req.headers(), CONTENT_LENGTH.as_str());
+    match length.and_then(|v| v.parse().ok()) {
+        Some(n) => BodyFraming::Length(n),
+        None if req.headers().contains_key(TRANSFER_ENCODING) => BodyFraming::Chunked,
+        None => BodyFraming::None,
+    }
+}
+
+fn stream(payload: Payload) -> BodyStream {
+    let convert = |chunk: Result<Bytes, PayloadError>| chunk.map_err(|_| BodyError::Incomplete);
+    Box::pin(payload.map(convert))
+}
--- /dev/null
+++ b/crates/entry/src/internal_api.rs
@@ -0,0 +1,177 @@
+//! What other entries can ask.
+
+use crate::admit::admit;
+use crate::answer::Answer;
+use crate::drain_state::DrainPhase;
+use crate::explain::Step;
+use crate::headers::{self, HOME_REGION, INGRESS, PERMIT};
+use crate::in_progress::{CountedBody, InProgress};
+use crate::inbound;
+use crate::owner::serve;
+use crate::paced::paced;
+use crate::problem::problem;
+use crate::refusal::Refusal;
+use crate::remote::{FORWARD_PATH, RESERVE_PATH};
+use crate::request_context::{self, RequestContext};
+use crate::reservations::RESERVATION_TIME;
+use crate::shared::Shared;
+use actix_web::{HttpRequest, HttpResponse, web};
+use mangospindle_model::{ErrorKind, RegionId, RequestClass};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Answer to a probe.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct ProbeAnswer {
+    /// Whether the entry is stopping.
+    pub(crate) draining: bool,
+    /// Version of its configuration.
+    pub(crate) config_version: u64,
+    /// Free slots of its endpoints, by name of the service.
+    pub(crate) free_slots: BTreeMap<String, u32>,
+}
+
+/// Serves a request that another entry received.
+pub(crate) async fn forward(
+    shared: web::Data<Arc<Shared>>,
+    req: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let id = request_context::request_id(&req);
+    let count = InProgress::new(&shared);
+    let result = serve_forwarded(&shared, &id, &req, payload).await;
+    match result {
+        Ok(mut answer) => {
+            let step = Step::Answered(answer.status.as_u16());
+            shared.explain.step(&id, shared.now(), step);
+            answer.body = Box::pin(CountedBody::new(answer.body, count));
+            answer.into_response()
+        }
+        Err(refusal) => {
+            shared.explain.step(&id, shared.now(), Step::Refused(refusal.kind));
+            problem(&refusal, &id)
+        }
+    }
+}
+
+async fn serve_forwarded(
+    shared: &Arc<Shared>,
+    id: &str,
+    req: &HttpRequest,
+    payload: web::Payload,
+) -> Result<Answer, Refusal> {
+    let (cx, name, home) = context(shared, id, req, FORWARD_PATH)?;
+    let step = Step::Forwarded {
+        service: cx.service,
+        class: cx.class,
+        home: cx.home,
+    };
+    shared.explain.start(id, shared.now(), step);
+    let permit = match headers::text(req.headers(), PERMIT) {
+        Some(permit) => match shared.reservations.take(permit, cx.service) {
+            Some(permit) => permit,
+            None => return Err(Refusal::new(ErrorKind::NoCapacity, "the reservation is over")),
+        },
+        None => admit(shared, &cx).await?,
+    };
+    let mut outbound = inbound::outbound(req, &format!("{FORWARD_PATH}{name}"), payload);
+    headers::set(&mut outbound.headers, HOME_REGION, &home);
+    let mut answer = serve(shared, &cx, outbound, permit).await?;
+    if let Some(region) = other_region(shared, req) {
+        answer.body = Box::pin(paced(shared, region, answer.body));
+    }
+    Ok(answer)
+}
+
+/// Keeps a slot for an upload whose body has not been sent yet.
+pub(crate) async fn reserve(shared: web::Data<Arc<Shared>>, req: HttpRequest) -> HttpResponse {
+    let id = request_context::request_id(&req);
+    let reserved = async {
+        let (mut cx, _, _) = context(&shared, &id, &req, RESERVE_PATH)?;
+        cx.class = RequestClass::Upload;
+        let permit = admit(&shared, &cx).await?;
+        Ok(shared.reservations.add(cx.service, permit))
+    };
+    match reserved.await {
+        Ok(reservation) => {
+            let (shared, key) = (Arc::clone(&shared), reservation.clone());
+            actix_rt::spawn(async move {
+                tokio::time::sleep(RESERVATION_TIME).await;
+                shared.reservations.expire(&key);
+            });
+            HttpResponse::Ok()
+                .insert_header((PERMIT, reservation))
+                .finish()
+        }
+        Err(refusal) => problem(&refusal, &id),
+    }
+}
+
+/// Proves that a connection works.
+pub(crate) async fn ping() -> HttpResponse {
+    HttpResponse::Ok().finish()
+}
+
+/// Tells how much this entry can take.
+pub(crate) async fn probe(shared: web::Data<Arc<Shared>>) -> HttpResponse {
+    let draining = shared.drain.phase() != DrainPhase::Serving;
+    let answer = shared.decide(|d, now| ProbeAnswer {
+        draining,
+        config_version: d.config.version,
+        free_slots: (d.config.topology.services.iter().enumerate())
+            .map(|(i, service)| {
+                let key = mangospindle_model::ServiceId(i as u16);
+                (service.name.clone(), d.admission.free_slots(now, key))
+            })
+            .collect(),
+    });
+    match answer {
+        Ok(answer) => HttpResponse::Ok().json(answer),
+        Err(refusal) => problem(&refusal, ""),
+    }
+}
+
+/// What the path and the headers say about a request from another entry.
+fn context(
+    shared: &Shared,
+    id: &str,
+    req: &HttpRequest,
+    prefix: &str,
+) -> Result<(RequestContext, String, String), Refusal> {
+    if matches!(shared.drain.phase(), DrainPhase::Finishing { .. }) {
+        return Err(ErrorKind::Draining.into());
+    }
+    let path = req.uri().path().strip_prefix(prefix).unwrap_or_default();
+    let name = path.split('/').next().unwrap_or_default();
+    let home = headers::text(req.headers(), HOME_REGION).unwrap_or_default();
+    let found = shared.decide(|d, _| {
+        let topology = &d.config.topology;
+        let key = topology.service_by_name(name)?;
+        Some((key, topology.services[key.index()].clone(), topology.region_by_name(home)))
+    })?;
+    let (key, service, home_key) = match found {
+        Some((key, service, Some(home))) => (key, service, home),
+        Some((_, _, None)) => return Err(Refusal::new(ErrorKind::BadRequest, "unknown region")),
+        None => return Err(ErrorKind::UnknownService.into()),
+    };
+    let cx = RequestContext {
+        id: id.to_string(),
+        service: key,
+        class: request_context::class_of(req.method(), &service),
+        home: home_key,
+        deadline: request_context::deadline(req, &service, shared.now())?,
+    };
+    Ok((cx, name.to_string(), home.to_string()))
+}
+
+/// Region of the entry that sent a request, if it is not this entry's region.
+fn other_region(shared: &Shared, req: &HttpRequest) -> Option<RegionId> {
+    let name = headers::text(req.headers(), INGRESS)?;
+    let region = shared.decide(|d, _| {
+        let topology = &d.config.topology;
+        let from = topology.entry_region(topology.entry_by_name(name)?);
+        Some(from).filter(|r| *r != topology.entry_region(d.entry))
+    });
+    region.ok().flatten()
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,67 @@
 //! The entry VM: lookup, forwarding and ownership of endpoints.
+//!
+//! A request takes this way: `routes` finds the handler, `public_api` reads the request, `ingress`
+//! chooses owners, `remote` or `admit` and `owner` get an answer from an endpoint through `call`
+//! and `client`, and `answer` passes it on.
+//!
+//! Invariants:
+//! - A caller gets the complete answer to its own request, an error answer, or a closed connection.
+//! - A request that may have reached an endpoint is sent again only if it is a read.
+//! - A slot of an endpoint is in use until the endpoint has answered, closed the connection, or
+//!   passed the request's deadline.
+//! - The configuration never goes back to a lower version.
+
+mod actions;
+mod admit;
+mod answer;
+mod attempt_guard;
+mod call;
+mod client;
+mod command;
+mod config_api;
+mod connect;
+mod control;
+mod control_handle;
+mod decisions;
+mod drain;
+mod drain_state;
+mod exchange_body;
+mod explain;
+mod fetch;
+mod follow;
+mod headers;
+mod health;
+mod in_progress;
+mod inbound;
+mod ingress;
+mod internal_api;
+mod linger;
+mod liveness;
+mod lookup;
+mod metrics;
+mod outbound;
+mod owner;
+mod paced;
+mod permit_guard;
+mod persist;
+mod probe;
+mod problem;
+mod public_api;
+mod queue;
+mod refusal;
+mod remote;
+mod request_context;
+mod reservations;
+mod routes;
+mod run;
+mod server;
+mod shared;
+mod static_config;
+mod status_api;
+mod tracked_body;
+mod vm_list;
+
+pub use command::{Command, command, run_command};
+pub use control::Control;
+pub use run::run;
+pub use server::EntryServer;
--- /dev/null
+++ b/crates/entry/src/linger.rs
@@ -0,0 +1,35 @@
+//! Keeping a slot until an endpoint has let go of a request that was given up.
+
+use crate::client::Exchange;
+use crate::permit_guard::PermitGuard;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// Closes the connection of an exchange whose answer has not started, and frees its slot when the
+/// endpoint has closed the connection as well or the request's deadline has passed. Until then the
+/// endpoint may still be working on the request.
+pub(crate) fn linger(exchange: Exchange, permit: PermitGuard) {
+    let left = permit.time_left();
+    // Without a runtime the process is ending, and its slots with it.
+    if tokio::runtime::Handle::try_current().is_ok() {
+        actix_rt::spawn(async move {
+            let closed = wait_for_close(exchange);
+            let _timed_out = tokio::time::timeout(left.max(Duration::from_millis(1)), closed).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn wait_for_close(exchange: Exchange) {
+    let Some(mut lease) = exchange.abandon() else {
+        return;
+    };
+    let Some(connection) = lease.connection() else {
+        return;
+    };
+    if connection.stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut late = [0u8; 4096];
+    while matches!(connection.stream.read(&mut late).await, Ok(n) if n > 0) {}
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,113 @@
+use miette::{IntoDiagnostic, Result};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// Upper bounds of the buckets of drain times, in seconds.
+const DRAIN_BUCKETS: [f64; 8] = [0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
+
+/// Metrics of an entry process.
+pub(crate) struct Metrics {
+    pub(crate) registry: Registry,
+    /// Answers by service, class and status class.
+    pub(crate) answered: IntCounterVec,
+    /// Owners chosen, by entry.
+    pub(crate) chosen: IntCounterVec,
+    /// Refused requests of callers, by error kind.
+    pub(crate) refused: IntCounterVec,
+    /// Requests that this entry, as owner, refused, by error kind.
+    pub(crate) owner_refused: IntCounterVec,
+    /// Requests shed, by class.
+    pub(crate) shed: IntCounterVec,
+    pub(crate) hedged: IntCounter,
+    pub(crate) retried: IntCounter,
+    /// Reads moved from a silent connection to a new one.
+    pub(crate) moved: IntCounter,
+    /// Answers that ended early, by side.
+    pub(crate) aborted: IntCounterVec,
+    pub(crate) slots_in_use: IntGauge,
+    pub(crate) in_progress: IntGauge,
+    /// Requests served for clients of other regions, by home region.
+    pub(crate) cross_region: IntCounterVec,
+    pub(crate) lookups: IntCounter,
+    pub(crate) config_version: IntGauge,
+    /// Time since the configuration was known to be current, in milliseconds.
+    pub(crate) confirmation_age_ms: IntGauge,
+    /// 0 while serving, 1 while leaving the lists, 2 while finishing.
+    pub(crate) drain_phase: IntGauge,
+    /// Endpoints that this entry owns.
+    pub(crate) owned: IntGauge,
+    pub(crate) drained: IntCounter,
+    pub(crate) drain_seconds: Histogram,
+    /// At-most-once actions by result.
+    pub(crate) actions: IntCounterVec,
+}
+
+impl Metrics {
+    /// Creates and registers all metrics.
+    pub(crate) fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let vec = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels).into_diagnostic()?;
+            registry.register(Box::new(counter.clone())).into_diagnostic()?;
+            Ok::<_, miette::Report>(counter)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).into_diagnostic()?;
+            registry.register(Box::new(counter.clone())).into_diagnostic()?;
+            Ok::<_, miette::Report>(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).into_diagnostic()?;
+            registry.register(Box::new(gauge.clone())).into_diagnostic()?;
+            Ok::<_, miette::Report>(gauge)
+        };
+        let opts = HistogramOpts::new("endpoint_drain_seconds", "Drain times of endpoints")
+            .buckets(DRAIN_BUCKETS.to_vec());
+        let drain_seconds = Histogram::with_opts(opts).into_diagnostic()?;
+        registry
+            .register(Box::new(drain_seconds.clone()))
+            .into_diagnostic()?;
+        Ok(Metrics {
+            answered: vec(
+                "requests_answered_total",
+                "Answers of endpoints passed to callers",
+                &["service", "class", "status"],
+            )?,
+            chosen: vec("owner_chosen_total", "Attempts by owner", &["owner"])?,
+            refused: vec("requests_refused_total", "Error answers to callers", &["kind"])?,
+            owner_refused: vec(
+                "owner_refused_total",
+                "Requests refused as the owner",
+                &["kind"],
+            )?,
+            shed: vec("requests_shed_total", "Requests shed as the owner", &["class"])?,
+            hedged: counter("requests_hedged_total", "Second attempts of slow reads")?,
+            retried: counter("requests_retried_total", "Attempts after a failed attempt")?,
+            moved: counter(
+                "reads_moved_total",
+                "Reads moved from a silent connection to a new one",
+            )?,
+            aborted: vec("answers_aborted_total", "Answers that ended early", &["reason"])?,
+            slots_in_use: gauge("slots_in_use", "Endpoint slots in use")?,
+            in_progress: gauge("requests_in_progress", "Requests of callers in progress")?,
+            cross_region: vec(
+                "cross_region_served_total",
+                "Requests admitted for clients of other regions",
+                &["home"],
+            )?,
+            lookups: counter("lookups_total", "Lookups answered")?,
+            config_version: gauge("config_version", "Version of the configuration in force")?,
+            confirmation_age_ms: gauge(
+                "config_confirmation_age_ms",
+                "Time since the configuration was known to be current; -1 if never",
+            )?,
+            drain_phase: gauge("drain_phase", "0 serving, 1 leaving the lists, 2 finishing")?,
+            owned: gauge("owned_endpoints", "Endpoints that this entry owns")?,
+            drained: counter("endpoints_drained_total", "Endpoints that became idle in a drain")?,
+            drain_seconds,
+            actions: vec("actions_total", "At-most-once actions by result", &["result"])?,
+            registry,
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/outbound.rs
@@ -0,0 +1,68 @@
+use crate::client::{BodyFraming, BodyStream};
+use actix_web::http::Method;
+use actix_web::http::header::HeaderMap;
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+
+/// A request to pass on.
+pub(crate) struct Outbound {
+    pub(crate) method: Method,
+    /// Path and query at the endpoint.
+    pub(crate) path: String,
+    /// End-to-end headers.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: OutboundBody,
+}
+
+/// The body of a request to pass on.
+pub(crate) enum OutboundBody {
+    /// No body.
+    None,
+    /// A body in memory, which can be sent again.
+    Bytes(Bytes),
+    /// A body that is read from the caller while it is sent.
+    Stream(BodyFraming, BodyStream),
+    /// The body was read from the caller by an earlier attempt.
+    Taken,
+}
+
+impl Outbound {
+    /// Body for one more attempt; `None` if an earlier attempt has consumed it.
+    pub(crate) fn take_body(&mut self) -> Option<(BodyFraming, Option<BodyStream>)> {
+        match &self.body {
+            OutboundBody::None => Some((BodyFraming::None, None)),
+            OutboundBody::Bytes(bytes) => {
+                let framing = BodyFraming::Length(bytes.len() as u64);
+                let bytes = bytes.clone();
+                Some((framing, Some(stream::iter([Ok(bytes)]).boxed_local())))
+            }
+            OutboundBody::Stream(..) => {
+                match std::mem::replace(&mut self.body, OutboundBody::Taken) {
+                    OutboundBody::Stream(framing, body) => Some((framing, Some(body))),
+                    _ => None,
+                }
+            }
+            OutboundBody::Taken => None,
+        }
+    }
+
+    /// A copy for a concurrent attempt; `None` if the body cannot be sent twice.
+    pub(crate) fn duplicate(&self) -> Option<Outbound> {
+        let body = match &self.body {
+            OutboundBody::None => OutboundBody::None,
+            OutboundBody::Bytes(bytes) => OutboundBody::Bytes(bytes.clone()),
+            OutboundBody::Stream(..) | OutboundBody::Taken => return None,
+        };
+        Some(Outbound {
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            body,
+        })
+    }
+
+    /// Whether an attempt can still be made.
+    pub(crate) fn can_send(&self) -> bool {
+        !matches!(self.body, OutboundBody::Taken)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/public_api.rs
@@ -0,0 +1,167 @@
+//! What callers can ask.
+
+use crate::actions;
+use crate::answer::Answer;
+use crate::drain_state::DrainPhase;
+use crate::explain::Step;
+use crate::headers::{self, HOME_REGION, IDEMPOTENCY_KEY, REQUEST_ID};
+use crate::in_progress::{CountedBody, InProgress};
+use crate::inbound;
+use crate::ingress;
+use crate::lookup::client_address;
+use crate::outbound::OutboundBody;
+use crate::problem::problem;
+use crate::refusal::Refusal;
+use crate::request_context::{self, RequestContext};
+use crate::shared::Shared;
+use actix_web::{HttpRequest, HttpResponse, web};
+use mangospindle_model::{ErrorKind, RequestClass};
+use mangospindle_rpc::QueryResult;
+use mangospindle_state::{ClaimKey, ClaimOutcome};
+use serde_json::json;
+use std::sync::Arc;
+
+/// Path under which services are reached.
+pub(crate) const SERVICE_PATH: &str = "/s/";
+
+/// Passes a request of a caller on.
+pub(crate) async fn service(
+    shared: web::Data<Arc<Shared>>,
+    req: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let id = request_context::request_id(&req);
+    let count = InProgress::new(&shared);
+    let result = serve(&shared, &id, &req, payload).await;
+    match result {
+        Ok(mut answer) => {
+            let step = Step::Answered(answer.status.as_u16());
+            shared.explain.step(&id, shared.now(), step);
+            answer.body = Box::pin(CountedBody::new(answer.body, count));
+            answer.into_response()
+        }
+        Err(refusal) => {
+            let name = refusal.kind.row().name;
+            shared.metrics.refused.with_label_values(&[name]).inc();
+            shared.explain.step(&id, shared.now(), Step::Refused(refusal.kind));
+            problem(&refusal, &id)
+        }
+    }
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    id: &str,
+    req: &HttpRequest,
+    payload: web::Payload,
+) -> Result<Answer, Refusal> {
+    inbound::check_headers(req)?;
+    let now = shared.now();
+    let path = req.uri().path().strip_prefix(SERVICE_PATH).unwrap_or_default();
+    let name = path.split('/').next().unwrap_or_default();
+    let client = client_address(req)?;
+    let found = shared.decide(|d, _| {
+        let key = d.config.topology.service_by_name(name)?;
+        let service = d.config.topology.services[key.index()].clone();
+        let home = d.table.lookup(client).region;
+        let region = d.config.topology.regions.get(home.index())?;
+        Some((key, service, home, region.name.clone()))
+    })?;
+    let Some((key, service, home, region)) = found else {
+        return Err(ErrorKind::UnknownService.into());
+    };
+    let class = request_context::class_of(req.method(), &service);
+    let step = Step::Received {
+        service: key,
+        class,
+        home,
+    };
+    shared.explain.start(id, now, step);
+    if matches!(shared.drain.phase(), DrainPhase::Finishing { .. }) {
+        return Err(shared.with_retry_after(ErrorKind::Draining.into(), key));
+    }
+    let cx = RequestContext {
+        id: id.to_string(),
+        service: key,
+        class,
+        home,
+        deadline: request_context::deadline(req, &service, now)?,
+    };
+    let mut outbound = inbound::outbound(req, &format!("{SERVICE_PATH}{name}"), payload);
+    headers::set(&mut outbound.headers, HOME_REGION, &region);
+    let mut answer = match class {
+        RequestClass::Read => ingress::read(shared, &cx, outbound).await?,
+        RequestClass::Upload => ingress::upload(shared, &cx, outbound).await?,
+        RequestClass::AtMostOnce => {
+            let key = headers::text(req.headers(), IDEMPOTENCY_KEY);
+            let key = actions::check_key(key)?;
+            let body = std::mem::replace(&mut outbound.body, OutboundBody::Taken);
+            let had_body = !matches!(body, OutboundBody::None);
+            let left = cx.remaining(now)?;
+            let buffered = inbound::buffer(body, actions::MAX_BODY_BYTES);
+            let bytes = match tokio::time::timeout(left, buffered).await {
+                Ok(bytes) => bytes?,
+                Err(_) => return Err(ErrorKind::DeadlineBeforeDispatch.into()),
+            };
+            outbound.body = match had_body {
+                true => OutboundBody::Bytes(bytes),
+                false => OutboundBody::None,
+            };
+            actions::run(shared, &cx, outbound, key).await?
+        }
+    };
+    let status = answer.status.as_str();
+    let labels = [name, class.as_str(), status];
+    shared.metrics.answered.with_label_values(&labels).inc();
+    headers::set(&mut answer.headers, HOME_REGION, &region);
+    headers::set(&mut answer.headers, REQUEST_ID, id);
+    Ok(answer)
+}
+
+/// Tells the state of an at-most-once action.
+pub(crate) async fn action_state(
+    shared: web::Data<Arc<Shared>>,
+    req: &HttpRequest,
+    service: &str,
+    key: &str,
+) -> HttpResponse {
+    let id = request_context::request_id(req);
+    match query(&shared, service, key).await {
+        Ok(state) => HttpResponse::Ok()
+            .insert_header((REQUEST_ID, id))
+            .json(state),
+        Err(refusal) => problem(&refusal, &id),
+    }
+}
+
+async fn query(
+    shared: &Shared,
+    service: &str,
+    key: &str,
+) -> Result<serde_json::Value, Refusal> {
+    let key = actions::check_key(Some(key))?;
+    let Some(service) = shared.decide(|d, _| d.config.topology.service_by_name(service))? else {
+        return Err(ErrorKind::UnknownService.into());
+    };
+    let claim = ClaimKey {
+        service,
+        key: key.to_string(),
+    };
+    let result = shared.control.query_claim(claim, actions::QUERY_TIME).await;
+    match result {
+        QueryResult::Unconfirmed => Err(ErrorKind::NoQuorum.into()),
+        QueryResult::Answer(ClaimOutcome::NotFound) => Ok(json!({ "state": "not_found" })),
+        QueryResult::Answer(ClaimOutcome::Completed(recorded)) => Ok(json!({
+            "state": "completed",
+            "status": recorded.status,
+            "content_type": recorded.content_type,
+            "body_kept": recorded.body.is_some(),
+        })),
+        QueryResult::Answer(ClaimOutcome::InProgress | ClaimOutcome::Granted) => {
+            Ok(json!({ "state": "in_progress" }))
+        }
+        QueryResult::Answer(ClaimOutcome::Unknown | ClaimOutcome::BodyMismatch) => {
+            Ok(json!({ "state": "unknown" }))
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/remote.rs
@@ -0,0 +1,218 @@
+//! Sending requests to owners on other VMs.
+
+use crate::admit::is_repeatable;
+use crate::answer::Answer;
+use crate::call::{Call, CallPlan};
+use crate::client::{BodyError, Exchange, ExchangeError, Target};
+use crate::connect::Freshness;
+use crate::exchange_body::ExchangeBody;
+use crate::headers::{self, ENTRY_ERROR, HOME_REGION, INGRESS, PERMIT, SERVED_BY, SERVED_REGION};
+use crate::outbound::{Outbound, OutboundBody};
+use crate::paced::paced;
+use crate::refusal::Refusal;
+use crate::request_context::RequestContext;
+use crate::shared::Shared;
+use actix_web::http::Method;
+use actix_web::http::header::HeaderMap;
+use futures::StreamExt;
+use mangospindle_model::{EntryId, ErrorKind, RegionId, Topology};
+use mangospindle_quota::RequestResult;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Path under which owners accept requests from other entries; the service's name follows.
+pub(crate) const FORWARD_PATH: &str = "/internal/v1/forward/";
+/// Path under which owners make reservations; the service's name follows.
+pub(crate) const RESERVE_PATH: &str = "/internal/v1/reserve/";
+
+/// Shortest wait for the first byte from an owner before a read is sent elsewhere. Longer than the
+/// owner's own wait for its endpoint, so that the owner can move the read first.
+const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Wait for the first byte, as a multiple of the usual time.
+const ATTEMPT_FACTOR: u32 = 8;
+
+/// Longest time by which an owner's error may follow the deadline.
+const ERROR_GRACE: Duration = Duration::from_millis(50);
+
+/// Most bytes of an owner's error answer that are read to keep the connection.
+const MAX_ERROR_BYTES: usize = 16 * 1024;
+
+/// Address of an entry, which the settings can override.
+pub(crate) fn internal_address(shared: &Shared, topology: &Topology, id: EntryId) -> SocketAddr {
+    let entry = &topology.entries[id.index()];
+    let overrides = &shared.settings.address_overrides;
+    overrides.get(&entry.name).copied().unwrap_or(entry.internal_address)
+}
+
+/// Sends a request to an owner and waits for the start of its answer.
+pub(crate) async fn forward(
+    shared: &Arc<Shared>,
+    cx: &RequestContext,
+    mut outbound: Outbound,
+    owner: EntryId,
+    permit: Option<&str>,
+) -> Result<Answer, Refusal> {
+    let route = Route::new(shared, cx, owner)?;
+    outbound.path = format!("{FORWARD_PATH}{}{}", route.service, outbound.path);
+    route.set_headers(shared, &mut outbound.headers);
+    if let Some(permit) = permit {
+        headers::set(&mut outbound.headers, PERMIT, permit);
+    }
+    if let Some(region) = route.other_region {
+        let body = std::mem::replace(&mut outbound.body, OutboundBody::Taken);
+        outbound.body = match body {
+            OutboundBody::Stream(framing, body) => {
+                OutboundBody::Stream(framing, paced(shared, region, body).boxed_local())
+            }
+            other => other,
+        };
+    }
+    let repeatable = is_repeatable(cx.class);
+    let plan = route.plan(owner, Freshness::of(cx.class), cx.deadline);
+    let mut call = match Call::prepare(shared, cx, &mut outbound, &plan, None).await {
+        Ok(call) => call,
+        Err((refusal, _)) => return Err(refusal),
+    };
+    let left = cx.deadline.saturating_sub(shared.now());
+    let timeout = match repeatable {
+        true => attempt_timeout(shared, cx).min(left),
+        false => left + ERROR_GRACE,
+    };
+    let head = match call.head(shared, timeout).await {
+        Some(Ok(head)) => head,
+        Some(Err(e)) => {
+            let kind = match e {
+                ExchangeError::Body(BodyError::LengthMismatch) => ErrorKind::BodyLengthMismatch,
+                ExchangeError::Body(BodyError::Incomplete) => ErrorKind::BadRequest,
+                _ if !call.has_started() => ErrorKind::NoEndpoint,
+                _ => ErrorKind::UpstreamFailed,
+            };
+            return Err(Refusal::new(kind, format!("owner: {e}")));
+        }
+        None => return Err(ErrorKind::DeadlineExceeded.into()),
+    };
+    let (exchange, _) = call.into_parts();
+    if let Some(name) = headers::text(&head.headers, ENTRY_ERROR) {
+        let kind = ErrorKind::from_name(name).unwrap_or(ErrorKind::Internal);
+        discard(exchange).await;
+        return Err(shared.with_retry_after(kind.into(), cx.service));
+    }
+    let mut out = headers::end_to_end(&head.headers);
+    for name in [SERVED_BY, SERVED_REGION] {
+        if let Some(value) = headers::text(&head.headers, name) {
+            headers::set(&mut out, name, value);
+        }
+    }
+    let left = cx.deadline.saturating_sub(shared.now());
+    let body = ExchangeBody::new(exchange, None, RequestResult::Cancelled, left + ERROR_GRACE);
+    Ok(Answer {
+        status: head.status,
+        headers: out,
+        framing: head.framing,
+        declared: head.declared,
+        body: Box::pin(body),
+    })
+}
+
+/// Reserves a slot for an upload at an owner; returns the name of the reservation.
+pub(crate) async fn reserve(
+    shared: &Arc<Shared>,
+    cx: &RequestContext,
+    owner: EntryId,
+) -> Result<String, Refusal> {
+    let route = Route::new(shared, cx, owner)?;
+    let mut outbound = Outbound {
+        method: Method::POST,
+        path: format!("{RESERVE_PATH}{}", route.service),
+        headers: HeaderMap::new(),
+        body: OutboundBody::None,
+    };
+    route.set_headers(shared, &mut outbound.headers);
+    let plan = route.plan(owner, Freshness::Proved, cx.deadline);
+    let mut call = match Call::prepare(shared, cx, &mut outbound, &plan, None).await {
+        Ok(call) => call,
+        Err((refusal, _)) => return Err(refusal),
+    };
+    let left = cx.deadline.saturating_sub(shared.now());
+    // A reservation that is lost on the way expires by itself; the upload has not run.
+    let head = match call.head(shared, left).await {
+        Some(Ok(head)) => head,
+        Some(Err(e)) => return Err(Refusal::new(ErrorKind::NoEndpoint, format!("owner: {e}"))),
+        None => return Err(ErrorKind::DeadlineBeforeDispatch.into()),
+    };
+    let (exchange, _) = call.into_parts();
+    discard(exchange).await;
+    let error = headers::text(&head.headers, ENTRY_ERROR);
+    match (error, headers::text(&head.headers, PERMIT)) {
+        (None, Some(permit)) => Ok(permit.to_string()),
+        (Some(name), _) => {
+            let kind = ErrorKind::from_name(name).unwrap_or(ErrorKind::NoEndpoint);
+            Err(shared.with_retry_after(kind.into(), cx.service))
+        }
+        (None, None) => Err(Refusal::new(ErrorKind::NoEndpoint, "owner: no permit")),
+    }
+}
+
+/// Names and addresses that a request to an owner needs.
+struct Route {
+    address: SocketAddr,
+    service: String,
+    home: String,
+    /// The owner's region, if it is not this entry's.
+    other_region: Option<RegionId>,
+}
+
+impl Route {
+    fn new(shared: &Shared, cx: &RequestContext, owner: EntryId) -> Result<Self, Refusal> {
+        shared.decide(|d, _| {
+            let topology = &d.config.topology;
+            let region = topology.entry_region(owner);
+            Route {
+                address: internal_address(shared, topology, owner),
+                service: topology.services[cx.service.index()].name.clone(),
+                home: topology.regions[cx.home.index()].name.clone(),
+                other_region: Some(region).filter(|r| *r != topology.entry_region(d.entry)),
+            }
+        })
+    }
+
+    fn set_headers(&self, shared: &Shared, headers: &mut HeaderMap) {
+        headers::set(headers, HOME_REGION, &self.home);
+        headers::set(headers, INGRESS, &shared.settings.name);
+    }
+
+    fn plan(&self, owner: EntryId, freshness: Freshness, deadline: Duration) -> CallPlan {
+        CallPlan {
+            target: Target::Entry(owner),
+            address: self.address,
+            freshness,
+            deadline,
+        }
+    }
+}
+
+/// Reads the rest of a short answer, so that its connection can be used again.
+async fn discard(exchange: Option<Exchange>) {
+    let Some(mut exchange) = exchange else {
+        return;
+    };
+    let mut read = 0;
+    while let Some(Ok(chunk)) = poll_fn(|cx| exchange.poll_chunk(cx)).await {
+        read += chunk.len();
+        if read > MAX_ERROR_BYTES {
+            return;
+        }
+    }
+}
+
+/// How long to wait for the first byte from an owner.
+fn attempt_timeout(shared: &Shared, cx: &RequestContext) -> Duration {
+    let usual = shared.decide(|d, _| d.usual_first_byte(cx.service));
+    match usual {
+        Ok(Some(usual)) => (usual * ATTEMPT_FACTOR).max(MIN_ATTEMPT_TIMEOUT),
+        Ok(None) | Err(_) => MIN_ATTEMPT_TIMEOUT,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/routes.rs
@@ -0,0 +1,88 @@
+//! From paths to handlers.
+
+use crate::problem::problem;
+use crate::public_api::SERVICE_PATH;
+use crate::refusal::Refusal;
+use crate::remote::{FORWARD_PATH, RESERVE_PATH};
+use crate::request_context::request_id;
+use crate::shared::Shared;
+use crate::{config_api, internal_api, lookup, public_api, status_api};
+use actix_web::http::Method;
+use actix_web::{HttpRequest, HttpResponse, web};
+use mangospindle_model::ErrorKind;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Path under which the states of at-most-once actions are found.
+const ACTIONS_PATH: &str = "/v1/actions/";
+
+/// Address of the listener for other entries, to tell its requests from those of callers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct InternalAddress(pub(crate) SocketAddr);
+
+/// Handles every request.
+pub(crate) async fn route(
+    shared: web::Data<Arc<Shared>>,
+    internal: web::Data<InternalAddress>,
+    req: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let path = req.path();
+    let get = req.method() == Method::GET;
+    match req.app_config().local_addr() == internal.0 {
+        _ if get && path == "/livez" => status_api::livez().await,
+        _ if get && path == "/readyz" => status_api::readyz(shared).await,
+        true if path.starts_with(FORWARD_PATH) => {
+            internal_api::forward(shared, req, payload).await
+        }
+        true if path.starts_with(RESERVE_PATH) && req.method() == Method::POST => {
+            internal_api::reserve(shared, req).await
+        }
+        true if get => match path {
+            "/internal/v1/ping" => internal_api::ping().await,
+            "/internal/v1/probe" => internal_api::probe(shared).await,
+            "/internal/v1/config" => match query(&req) {
+                Ok(query) => config_api::config(shared, query).await,
+                Err(refusal) => problem(&refusal, &request_id(&req)),
+            },
+            "/metrics" => status_api::metrics(shared).await,
+            "/v1/status" => status_api::status(shared).await,
+            "/v1/explain" => match query(&req) {
+                Ok(query) => status_api::explain(shared, query).await,
+                Err(refusal) => problem(&refusal, &request_id(&req)),
+            },
+            _ => not_found(&req),
+        },
+        false if path.starts_with(SERVICE_PATH) => {
+            public_api::service(shared, req, payload).await
+        }
+        false if get && path == "/v1/lookup" => match query(&req) {
+            Ok(query) => lookup::lookup(shared, &req, query),
+            Err(refusal) => problem(&refusal, &request_id(&req)),
+        },
+        false if get && path.starts_with(ACTIONS_PATH) => {
+            let rest = path[ACTIONS_PATH.len()..].to_string();
+            match rest.split_once('/') {
+                Some((service, key)) => {
+                    public_api::action_state(shared, &req, service, key).await
+                }
+                None => not_found(&req),
+            }
+        }
+        _ => not_found(&req),
+    }
+}
+
+fn query<T>(req: &HttpRequest) -> Result<T, Refusal>
+where
+    T: DeserializeOwned,
+{
+    web::Query::from_query(req.query_string())
+        .map(web::Query::into_inner)
+        .map_err(|e| Refusal::new(ErrorKind::BadRequest, e.to_string()))
+}
+
+fn not_found(req: &HttpRequest) -> HttpResponse {
+    problem(&ErrorKind::NotFound.into(), &request_id(req))
+}
--- /dev/null
+++ b/crates/entry/src/status_api.rs
@@ -0,0 +1,171 @@
+//! What operators can ask one entry.
+
+use crate::drain_state::DrainPhase;
+use crate::explain::Step;
+use crate::problem::problem;
+use crate::refusal::Refusal;
+use crate::shared::Shared;
+use actix_web::http::header::CONTENT_TYPE;
+use actix_web::{HttpResponse, web};
+use mangospindle_model::{ErrorKind, Topology};
+use mangospindle_telemetry::metrics_text;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Query for an explanation.
+#[derive(Debug, Deserialize)]
+pub(crate) struct ExplainQuery {
+    request: String,
+}
+
+/// Whether the process runs.
+pub(crate) async fn livez() -> HttpResponse {
+    HttpResponse::Ok().body("live")
+}
+
+/// Whether new callers should be sent here.
+pub(crate) async fn readyz(shared: web::Data<Arc<Shared>>) -> HttpResponse {
+    let reason = match (shared.drain.phase(), shared.entry()) {
+        (DrainPhase::Serving, Some(_)) => return HttpResponse::Ok().body("ready"),
+        (DrainPhase::Serving, None) => "no configuration",
+        _ => "stopping",
+    };
+    HttpResponse::ServiceUnavailable().body(reason)
+}
+
+/// All metrics in the Prometheus text format.
+pub(crate) async fn metrics(shared: web::Data<Arc<Shared>>) -> HttpResponse {
+    refresh_gauges(&shared);
+    match metrics_text(&shared.metrics.registry) {
+        Ok(text) => HttpResponse::Ok()
+            .insert_header((CONTENT_TYPE, "text/plain; version=0.0.4"))
+            .body(text),
+        Err(e) => HttpResponse::InternalServerError().body(e.to_string()),
+    }
+}
+
+/// State of this entry.
+pub(crate) async fn status(shared: web::Data<Arc<Shared>>) -> HttpResponse {
+    let phase = shared.drain.phase();
+    let since = match phase {
+        DrainPhase::Serving => None,
+        DrainPhase::LeavingLists { since } | DrainPhase::Finishing { since } => {
+            Some(shared.now().saturating_sub(since).as_millis() as u64)
+        }
+    };
+    let state = shared.decide(|d, now| {
+        let owned: Vec<Value> = (d.config.topology.endpoint_ids())
+            .filter(|id| d.config.owner_of(*id) == Some(d.entry))
+            .map(|id| {
+                let ownership = d.config.ownership[id.index()];
+                json!({
+                    "endpoint": d.config.topology.endpoints[id.index()].name,
+                    "epoch": ownership.epoch,
+                    "takeover": format!("{:?}", ownership.takeover).to_lowercase(),
+                    "operator_drain": d.config.endpoint_drain[id.index()],
+                })
+            })
+            .collect();
+        let age = d.confirmed_at.map(|at| now.saturating_sub(at).as_millis() as u64);
+        json!({
+            "config_version": d.config.version,
+            "confirmation_age_ms": age,
+            "owned_endpoints": owned,
+            "queued": d.waiting.len(),
+        })
+    });
+    HttpResponse::Ok().json(json!({
+        "entry": shared.settings.name,
+        "incarnation": format!("{:016x}", shared.incarnation),
+        "version": env!("CARGO_PKG_VERSION"),
+        "drain": {
+            "phase": phase.as_str(),
+            "since_ms": since,
+            "requests_in_progress": shared.metrics.in_progress.get(),
+            "pending_commands": shared.pending_commands.load(Ordering::Relaxed),
+        },
+        "slots_in_use": shared.metrics.slots_in_use.get(),
+        "configuration": state.ok(),
+    }))
+}
+
+/// Why a recent request went where it went.
+pub(crate) async fn explain(
+    shared: web::Data<Arc<Shared>>,
+    query: ExplainQuery,
+) -> HttpResponse {
+    let Some(found) = shared.explain.find(&query.request) else {
+        let refusal = Refusal::new(ErrorKind::NotFound, "not among the recent requests");
+        return problem(&refusal, &query.request);
+    };
+    let topology = match shared.config() {
+        Ok(config) => config,
+        Err(refusal) => return problem(&refusal, &query.request),
+    };
+    let start = found.steps.first().map_or_else(Default::default, |s| s.0);
+    let steps: Vec<Value> = (found.steps.iter())
+        .map(|(at, step)| {
+            let mut value = describe(&topology.topology, *step);
+            value["after_us"] = json!(at.saturating_sub(start).as_micros() as u64);
+            value
+        })
+        .collect();
+    HttpResponse::Ok().json(json!({
+        "request": found.id,
+        "entry": shared.settings.name,
+        "steps": steps,
+    }))
+}
+
+/// Brings the gauges that are computed from the state up to date.
+fn refresh_gauges(shared: &Shared) {
+    let phase = match shared.drain.phase() {
+        DrainPhase::Serving => 0,
+        DrainPhase::LeavingLists { .. } => 1,
+        DrainPhase::Finishing { .. } => 2,
+    };
+    shared.metrics.drain_phase.set(phase);
+    let state = shared.decide(|d, now| {
+        let owned = (d.config.topology.endpoint_ids())
+            .filter(|id| d.config.owner_of(*id) == Some(d.entry))
+            .count();
+        let age = d.confirmed_at.map(|at| now.saturating_sub(at).as_millis() as i64);
+        (owned, age)
+    });
+    if let Ok((owned, age)) = state {
+        shared.metrics.owned.set(owned as i64);
+        shared.metrics.confirmation_age_ms.set(age.unwrap_or(-1));
+    }
+}
+
+fn describe(topology: &Topology, step: Step) -> Value {
+    let entry = |id: mangospindle_model::EntryId| &topology.entries[id.index()].name;
+    let arrival = |step: &str, service: usize, class: &str, home: usize| {
+        json!({
+            "step": step,
+            "service": topology.services[service].name,
+            "class": class,
+            "home_region": topology.regions[home].name,
+        })
+    };
+    match step {
+        Step::Received { service, class, home } => {
+            arrival("received", service.index(), class.as_str(), home.index())
+        }
+        Step::Forwarded { service, class, home } => {
+            arrival("forwarded", service.index(), class.as_str(), home.index())
+        }
+        Step::Chosen(id) => json!({ "step": "owner_chosen", "owner": entry(id) }),
+        Step::Hedged(id) => json!({ "step": "hedged", "owner": entry(id) }),
+        Step::Failed(id, kind) => json!({
+            "step": "attempt_failed", "owner": entry(id), "error": kind.row().name,
+        }),
+        Step::Dispatched(id) => json!({
+            "step": "dispatched", "endpoint": topology.endpoints[id.index()].name,
+        }),
+        Step::Answered(status) => json!({ "step": "answered", "status": status }),
+        Step::Refused(kind) => json!({ "step": "refused", "error": kind.row().name }),
+    }
+}
--- a/src/bin/mangospindle-entry.rs
+++ b/src/bin/mangospindle-entry.rs
@@ -1,3 +1,6 @@
-//! Thin binary.
+//! The entry process; see `mangospindle_entry`.
 
-fn main() {}
+#[actix_web::main]
+async fn main() -> miette::Result<()> {
+    mangospindle_entry::run_command(mangospindle_entry::command().run()).await
+}
