--- a/crates/entry/src/actions.rs
+++ b/crates/entry/src/actions.rs
@@ -49,7 +49,10 @@
     match key {
         None => Err(ErrorKind::MissingIdempotencyKey.into()),
         Some(key) if valid(key) => Ok(key),
-        Some(_) => Err(Refusal::new(ErrorKind::BadRequest, "invalid Idempotency-Key")),
+        Some(_) => Err(Refusal::new(
+            ErrorKind::BadRequest,
+            "invalid Idempotency-Key",
+        )),
     }
 }
 
@@ -99,7 +102,10 @@
             incarnation: shared.incarnation,
             sequence,
         },
-        request: format!("{}/{:016x}/{sequence}", shared.settings.name, shared.incarnation),
+        request: format!(
+            "{}/{:016x}/{sequence}",
+            shared.settings.name, shared.incarnation
+        ),
     };
     let command = CommandKind::Claim {
         key: claim.key.clone(),
@@ -108,7 +114,9 @@
     };
     let left = cx.remaining(shared.now())?;
     let request = RequestId(format!("{}/claim", claim.request));
-    let proposed = shared.control.propose(command.clone(), request.clone(), left);
+    let proposed = shared
+        .control
+        .propose(command.clone(), request.clone(), left);
     let outcome = match proposed.await {
         ProposeResult::Outcome(outcome) => outcome,
         ProposeResult::NotAccepted => return Err(ErrorKind::NoQuorum.into()),
@@ -135,9 +143,10 @@
         Outcome::Claim(ClaimOutcome::BodyMismatch) => Err(ErrorKind::IdempotencyKeyReused.into()),
         Outcome::Claim(ClaimOutcome::Unknown) => Err(ErrorKind::OutcomeUnknown.into()),
         Outcome::Refused { kind, detail, .. } => Err(Refusal::new(kind, detail)),
-        Outcome::Claim(ClaimOutcome::NotFound) | Outcome::Done { .. } => {
-            Err(Refusal::new(ErrorKind::NoQuorum, "unexpected answer to the claim"))
-        }
+        Outcome::Claim(ClaimOutcome::NotFound) | Outcome::Done { .. } => Err(Refusal::new(
+            ErrorKind::NoQuorum,
+            "unexpected answer to the claim",
+        )),
     }
 }
 
@@ -242,8 +251,15 @@
         headers.insert(CONTENT_TYPE, value);
     }
     headers::set(&mut headers, REQUEST_ID, &cx.id);
-    let kept = if recorded.body.is_some() { "whole" } else { "without-body" };
-    headers.insert(HeaderName::from_static(REPLAYED), HeaderValue::from_static(kept));
+    let kept = if recorded.body.is_some() {
+        "whole"
+    } else {
+        "without-body"
+    };
+    headers.insert(
+        HeaderName::from_static(REPLAYED),
+        HeaderValue::from_static(kept),
+    );
     let body = Bytes::from(recorded.body.unwrap_or_default());
     Answer {
         status: StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK),
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -63,7 +63,11 @@
         }
         Err(kind) => {
             let name = kind.row().name;
-            shared.metrics.owner_refused.with_label_values(&[name]).inc();
+            shared
+                .metrics
+                .owner_refused
+                .with_label_values(&[name])
+                .inc();
             if kind == ErrorKind::Shed {
                 let class = cx.class.as_str();
                 shared.metrics.shed.with_label_values(&[class]).inc();
@@ -81,7 +85,11 @@
         region.map(|r| r.name.clone())
     });
     if let Ok(Some(home)) = home {
-        shared.metrics.cross_region.with_label_values(&[home.as_str()]).inc();
+        shared
+            .metrics
+            .cross_region
+            .with_label_values(&[home.as_str()])
+            .inc();
     }
 }
 
--- a/crates/entry/src/attempt_guard.rs
+++ b/crates/entry/src/attempt_guard.rs
@@ -43,7 +43,11 @@
     /// The answer ended early.
     pub(crate) fn aborted(mut self, e: ExchangeError) {
         let reason = e.as_str();
-        self.shared.metrics.aborted.with_label_values(&[reason]).inc();
+        self.shared
+            .metrics
+            .aborted
+            .with_label_values(&[reason])
+            .inc();
         self.end(match e {
             ExchangeError::Body(_) => OwnerEvent::Cancelled,
             _ => OwnerEvent::Failed,
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -138,7 +138,10 @@
             Freshness::Any => Duration::ZERO,
             Freshness::Proved | Freshness::New => Freshness::Proved.proved_after(now),
         };
-        if candidate.connection().is_some_and(|c| c.proved_at >= needed) {
+        if candidate
+            .connection()
+            .is_some_and(|c| c.proved_at >= needed)
+        {
             return Ok(candidate);
         }
     }
--- a/crates/entry/src/client/exchange.rs
+++ b/crates/entry/src/client/exchange.rs
@@ -151,8 +151,7 @@
     }
 
     fn poll_read(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let Some(Connection { stream, buf, .. }) =
-            self.lease.as_mut().and_then(Lease::connection)
+        let Some(Connection { stream, buf, .. }) = self.lease.as_mut().and_then(Lease::connection)
         else {
             return Poll::Ready(Ok(0));
         };
--- a/crates/entry/src/client/upload.rs
+++ b/crates/entry/src/client/upload.rs
@@ -70,7 +70,8 @@
                 }
                 (Some(Ok(chunk)), _) if chunk.is_empty() => {}
                 (Some(Ok(chunk)), _) => {
-                    self.out.put_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+                    self.out
+                        .put_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
                     self.out.put(chunk);
                     self.out.put_slice(b"\r\n");
                 }
--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -65,7 +65,11 @@
         } => crate::run(EntrySettings::load(&settings)?, static_deployment).await,
         Command::Check { settings } => {
             let checked = EntrySettings::load(&settings)?;
-            println!("{}: the settings of entry `{}` are valid", settings.display(), checked.name);
+            println!(
+                "{}: the settings of entry `{}` are valid",
+                settings.display(),
+                checked.name
+            );
             Ok(())
         }
     }
--- a/crates/entry/src/config_api.rs
+++ b/crates/entry/src/config_api.rs
@@ -27,10 +27,7 @@
 }
 
 /// Tells the configuration of this entry.
-pub(crate) async fn config(
-    shared: web::Data<Arc<Shared>>,
-    query: ConfigQuery,
-) -> HttpResponse {
+pub(crate) async fn config(shared: web::Data<Arc<Shared>>, query: ConfigQuery) -> HttpResponse {
     let answer = shared.decide(|d, now| ConfigAnswer {
         version: d.config.version,
         confirmed_age_ms: d
--- a/crates/entry/src/control_handle.rs
+++ b/crates/entry/src/control_handle.rs
@@ -9,7 +9,8 @@
 /// A call to the control replicas, on its way to the thread that holds the client.
 pub(crate) enum ControlCall {
     Propose {
-        command: Command,
+        // Boxed, because the other variant is small.
+        command: Box<Command>,
         time: Duration,
         reply: oneshot::Sender<ProposeResult>,
     },
@@ -43,13 +44,13 @@
         time: Duration,
     ) -> BoxFuture<'static, ProposeResult> {
         let (reply, receiver) = oneshot::channel();
-        let command = Command {
+        let command = Box::new(Command {
             request,
             actor: Actor::Process(self.process.clone()),
             // The leader sets the time when it accepts the command.
             leader_time_ms: 0,
             kind,
-        };
+        });
         let call = ControlCall::Propose {
             command,
             time,
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -54,7 +54,10 @@
     shared.drain.set(DrainPhase::Finishing { since });
     event!(Info, "drain_finishing", "requests" => shared.metrics.in_progress.get());
     let limit = shared.now() + longest + GRACE;
-    let left = wait(shared, limit, |left| left.requests == 0 && left.commands == 0).await;
+    let left = wait(shared, limit, |left| {
+        left.requests == 0 && left.commands == 0
+    })
+    .await;
     let time = shared.now().saturating_sub(since);
     event!(Info, "drain_ended", "drain_ms" => time.as_millis(), "requests_left" => left.requests,
         "commands_left" => left.commands, "endpoints_left" => left.endpoints);
--- a/crates/entry/src/fetch.rs
+++ b/crates/entry/src/fetch.rs
@@ -1,8 +1,6 @@
 //! Short requests of this entry's own: health checks, probes and lists.
 
-use crate::client::{
-    BodyFraming, Exchange, Lease, RequestHead, Upload,
-};
+use crate::client::{BodyFraming, Exchange, Lease, RequestHead, Upload};
 use crate::shared::Shared;
 use actix_web::http::Method;
 use actix_web::http::header::HeaderMap;
@@ -24,7 +22,11 @@
         path: path.to_string(),
         headers: HeaderMap::new(),
     };
-    let upload = Upload::new(head.encode(address, BodyFraming::None), BodyFraming::None, None);
+    let upload = Upload::new(
+        head.encode(address, BodyFraming::None),
+        BodyFraming::None,
+        None,
+    );
     let mut exchange = Exchange::new(lease, Method::GET, upload);
     let answer = exchange.head(&*shared.clock).await.ok()?;
     let mut body = BytesMut::new();
@@ -36,4 +38,3 @@
     }
     answer.status.is_success().then(|| body.freeze())
 }
-
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -77,7 +77,10 @@
             entry,
             incarnation: shared.incarnation,
         };
-        let name = format!("{}/{:016x}/join/{attempt}", shared.settings.name, shared.incarnation);
+        let name = format!(
+            "{}/{:016x}/join/{attempt}",
+            shared.settings.name, shared.incarnation
+        );
         let outcome = persist(&shared, command, RequestId(name)).await;
         event!(Info, "entry_join_result", "outcome" => format!("{outcome:?}"));
         // The watch brings the new status soon after.
@@ -111,7 +114,9 @@
     loop {
         tokio::time::sleep(CUT_OFF_TIME).await;
         let peers = shared.decide(|d, now| {
-            let fresh = d.confirmed_at.is_some_and(|at| now.saturating_sub(at) < CUT_OFF_TIME);
+            let fresh = d
+                .confirmed_at
+                .is_some_and(|at| now.saturating_sub(at) < CUT_OFF_TIME);
             let topology = &d.config.topology;
             let domain = topology.entries[d.entry.index()].failure_domain;
             let near = |id: &EntryId| {
@@ -141,7 +146,9 @@
     let asked_at = shared.now();
     let deadline = asked_at + PEER_TIMEOUT;
     let target = Target::Entry(entry);
-    let lease = lease(shared, target, address, Freshness::New, deadline).await.ok()?;
+    let lease = lease(shared, target, address, Freshness::New, deadline)
+        .await
+        .ok()?;
     let path = format!("/internal/v1/config?after={version}");
     let bytes = fetch::get(shared, lease, address, &path, MAX_CONFIG_BYTES).await?;
     Some((postcard::from_bytes(&bytes).ok()?, asked_at))
--- a/crates/entry/src/in_progress.rs
+++ b/crates/entry/src/in_progress.rs
@@ -1,5 +1,5 @@
-use crate::client::ExchangeError;
 use crate::answer::AnswerStream;
+use crate::client::ExchangeError;
 use crate::shared::Shared;
 use bytes::Bytes;
 use futures::Stream;
--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -12,7 +12,7 @@
 use crate::shared::Shared;
 use crate::tracked_body::TrackedBody;
 use futures::future::{Either, select};
-use mangospindle_model::EntryId;
+use mangospindle_model::{EntryId, ErrorKind};
 use mangospindle_routing::{Attempts, RetryDecision};
 use std::pin::pin;
 use std::sync::Arc;
@@ -26,7 +26,10 @@
 ) -> Result<Answer, Refusal> {
     let mut attempts = Attempts::new(cx.service, cx.class, cx.home, cx.deadline);
     shared.decide(|d, _| {
-        let fraction = d.config.profile_of(cx.service).map_or(0.0, |p| p.retry_budget);
+        let fraction = d
+            .config
+            .profile_of(cx.service)
+            .map_or(0.0, |p| p.retry_budget);
         d.moves.entry(cx.service).or_default().deposit(fraction);
     })?;
     let mut outbound = Some(outbound);
@@ -36,7 +39,7 @@
         // A read whose body cannot be sent again has one attempt.
         let again = outbound.as_ref().and_then(Outbound::duplicate);
         let Some(current) = outbound.take() else {
-            return Err(mangospindle_model::ErrorKind::Internal.into());
+            return Err(ErrorKind::Internal.into());
         };
         let has_copy = again.is_some();
         outbound = again;
@@ -105,14 +108,13 @@
     loop {
         let owner = choose(shared, cx, &mut attempts, last.take())?;
         let Some(copy) = outbound.duplicate() else {
-            return Err(mangospindle_model::ErrorKind::Internal.into());
+            return Err(ErrorKind::Internal.into());
         };
         let refusal = match attempt(shared, cx, owner, copy).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
-        let retry =
-            refusal.is_not_run() && wait_for_retry(shared, &mut attempts, &refusal).await;
+        let retry = refusal.is_not_run() && wait_for_retry(shared, &mut attempts, &refusal).await;
         match retry {
             true => last = Some(refusal),
             false => return Err(refusal),
@@ -160,7 +162,9 @@
         return first.await;
     };
     shared.metrics.hedged.inc();
-    shared.explain.step(&cx.id, shared.now(), Step::Hedged(second_owner));
+    shared
+        .explain
+        .step(&cx.id, shared.now(), Step::Hedged(second_owner));
     let second = pin!(attempt(shared, cx, second_owner, copy));
     match select(first, second).await {
         Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
@@ -176,8 +180,9 @@
     attempts: &mut Attempts,
     last: Option<Refusal>,
 ) -> Result<EntryId, Refusal> {
-    cx.remaining(shared.now()).map_err(|e| last.clone().unwrap_or(e))?;
-    let chosen = shared.decide(|d, now| {
+    cx.remaining(shared.now())
+        .map_err(|e| last.clone().unwrap_or(e))?;
+    let chosen: Result<EntryId, ErrorKind> = shared.decide(|d, now| {
         let owner = d.router.choose(now, attempts)?;
         let name = &d.config.topology.entries[owner.index()].name;
         shared.metrics.chosen.with_label_values(&[name]).inc();
@@ -185,7 +190,9 @@
     })?;
     match chosen {
         Ok(owner) => {
-            shared.explain.step(&cx.id, shared.now(), Step::Chosen(owner));
+            shared
+                .explain
+                .step(&cx.id, shared.now(), Step::Chosen(owner));
             Ok(owner)
         }
         Err(kind) => {
@@ -220,8 +227,7 @@
 
 /// Asks the router whether to try again, and waits as long as it says.
 async fn wait_for_retry(shared: &Shared, attempts: &mut Attempts, refusal: &Refusal) -> bool {
-    let decision =
-        shared.decide(|d, now| d.router.after_failure(now, attempts, refusal.kind));
+    let decision = shared.decide(|d, now| d.router.after_failure(now, attempts, refusal.kind));
     match decision {
         Ok(RetryDecision::Retry { delay }) => {
             shared.metrics.retried.inc();
--- a/crates/entry/src/internal_api.rs
+++ b/crates/entry/src/internal_api.rs
@@ -49,7 +49,9 @@
             answer.into_response()
         }
         Err(refusal) => {
-            shared.explain.step(&id, shared.now(), Step::Refused(refusal.kind));
+            shared
+                .explain
+                .step(&id, shared.now(), Step::Refused(refusal.kind));
             problem(&refusal, &id)
         }
     }
@@ -71,7 +73,12 @@
     let permit = match headers::text(req.headers(), PERMIT) {
         Some(permit) => match shared.reservations.take(permit, cx.service) {
             Some(permit) => permit,
-            None => return Err(Refusal::new(ErrorKind::NoCapacity, "the reservation is over")),
+            None => {
+                return Err(Refusal::new(
+                    ErrorKind::NoCapacity,
+                    "the reservation is over",
+                ));
+            }
         },
         None => admit(shared, &cx).await?,
     };
@@ -148,7 +155,11 @@
     let found = shared.decide(|d, _| {
         let topology = &d.config.topology;
         let key = topology.service_by_name(name)?;
-        Some((key, topology.services[key.index()].clone(), topology.region_by_name(home)))
+        Some((
+            key,
+            topology.services[key.index()].clone(),
+            topology.region_by_name(home),
+        ))
     })?;
     let (key, service, home_key) = match found {
         Some((key, service, Some(home))) => (key, service, home),
--- a/crates/entry/src/liveness.rs
+++ b/crates/entry/src/liveness.rs
@@ -27,7 +27,9 @@
         // Checked a little early, so that the proof does not run out between two looks.
         let proved_before = now.saturating_sub(PROOF_TIME - INTERVAL * 2);
         for (target, mut lease) in shared.pool.take_unproved(proved_before) {
-            let idle = lease.connection().is_none_or(|c| now.saturating_sub(c.used_at) > MAX_IDLE);
+            let idle = lease
+                .connection()
+                .is_none_or(|c| now.saturating_sub(c.used_at) > MAX_IDLE);
             if !idle {
                 let shared = Arc::clone(&shared);
                 actix_rt::spawn(async move { ping(&shared, target, lease).await });
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -71,11 +71,7 @@
     }
 }
 
-fn answer(
-    shared: &Shared,
-    req: &HttpRequest,
-    query: LookupQuery,
-) -> Result<LookupAnswer, Refusal> {
+fn answer(shared: &Shared, req: &HttpRequest, query: LookupQuery) -> Result<LookupAnswer, Refusal> {
     let client = match query.client {
         Some(client) => client.to_canonical(),
         None => client_address(req)?,
@@ -88,7 +84,9 @@
         let chosen = d.router.lookup(now, &home, service);
         // A stopping entry leaves its own answers before the agreed state says so.
         let others = chosen.len() > 1;
-        let entries = chosen.into_iter().filter(|id| !(leaving && others && *id == d.entry));
+        let entries = chosen
+            .into_iter()
+            .filter(|id| !(leaving && others && *id == d.entry));
         Some(LookupAnswer {
             service: query.service.clone(),
             home_region: topology.regions.get(home.region.index())?.name.clone(),
@@ -97,7 +95,9 @@
                 .map(|id| LookupEntry {
                     name: topology.entries[id.index()].name.clone(),
                     address: topology.entries[id.index()].public_address,
-                    region: topology.regions[topology.entry_region(id).index()].name.clone(),
+                    region: topology.regions[topology.entry_region(id).index()]
+                        .name
+                        .clone(),
                 })
                 .collect(),
             ttl_ms: LOOKUP_TTL.as_millis() as u64,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,7 +1,5 @@
 use miette::{IntoDiagnostic, Result};
-use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Upper bounds of the buckets of drain times, in seconds.
 const DRAIN_BUCKETS: [f64; 8] = [0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
@@ -49,17 +47,23 @@
         let registry = Registry::new();
         let vec = |name: &str, help: &str, labels: &[&str]| {
             let counter = IntCounterVec::new(Opts::new(name, help), labels).into_diagnostic()?;
-            registry.register(Box::new(counter.clone())).into_diagnostic()?;
+            registry
+                .register(Box::new(counter.clone()))
+                .into_diagnostic()?;
             Ok::<_, miette::Report>(counter)
         };
         let counter = |name: &str, help: &str| {
             let counter = IntCounter::new(name, help).into_diagnostic()?;
-            registry.register(Box::new(counter.clone())).into_diagnostic()?;
+            registry
+                .register(Box::new(counter.clone()))
+                .into_diagnostic()?;
             Ok::<_, miette::Report>(counter)
         };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).into_diagnostic()?;
-            registry.register(Box::new(gauge.clone())).into_diagnostic()?;
+            registry
+                .register(Box::new(gauge.clone()))
+                .into_diagnostic()?;
             Ok::<_, miette::Report>(gauge)
         };
         let opts = HistogramOpts::new("endpoint_drain_seconds", "Drain times of endpoints")
@@ -75,20 +79,32 @@
                 &["service", "class", "status"],
             )?,
             chosen: vec("owner_chosen_total", "Attempts by owner", &["owner"])?,
-            refused: vec("requests_refused_total", "Error answers to callers", &["kind"])?,
+            refused: vec(
+                "requests_refused_total",
+                "Error answers to callers",
+                &["kind"],
+            )?,
             owner_refused: vec(
                 "owner_refused_total",
                 "Requests refused as the owner",
                 &["kind"],
             )?,
-            shed: vec("requests_shed_total", "Requests shed as the owner", &["class"])?,
+            shed: vec(
+                "requests_shed_total",
+                "Requests shed as the owner",
+                &["class"],
+            )?,
             hedged: counter("requests_hedged_total", "Second attempts of slow reads")?,
             retried: counter("requests_retried_total", "Attempts after a failed attempt")?,
             moved: counter(
                 "reads_moved_total",
                 "Reads moved from a silent connection to a new one",
             )?,
-            aborted: vec("answers_aborted_total", "Answers that ended early", &["reason"])?,
+            aborted: vec(
+                "answers_aborted_total",
+                "Answers that ended early",
+                &["reason"],
+            )?,
             slots_in_use: gauge("slots_in_use", "Endpoint slots in use")?,
             in_progress: gauge("requests_in_progress", "Requests of callers in progress")?,
             cross_region: vec(
@@ -104,9 +120,16 @@
             )?,
             drain_phase: gauge("drain_phase", "0 serving, 1 leaving the lists, 2 finishing")?,
             owned: gauge("owned_endpoints", "Endpoints that this entry owns")?,
-            drained: counter("endpoints_drained_total", "Endpoints that became idle in a drain")?,
+            drained: counter(
+                "endpoints_drained_total",
+                "Endpoints that became idle in a drain",
+            )?,
             drain_seconds,
-            actions: vec("actions_total", "At-most-once actions by result", &["result"])?,
+            actions: vec(
+                "actions_total",
+                "At-most-once actions by result",
+                &["result"],
+            )?,
             registry,
         })
     }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -73,7 +73,9 @@
     let Ok(Some(address)) = address else {
         return Next::Refuse(ErrorKind::NoEndpoint.into());
     };
-    shared.explain.step(&cx.id, shared.now(), Step::Dispatched(endpoint));
+    shared
+        .explain
+        .step(&cx.id, shared.now(), Step::Dispatched(endpoint));
     let plan = CallPlan {
         target: Target::Endpoint(endpoint),
         address,
@@ -134,7 +136,10 @@
         let endpoint = permit.as_ref().map(PermitGuard::endpoint);
         endpoint.map(|id| {
             let region = &topology.regions[topology.endpoint_region(id).index()];
-            (topology.endpoints[id.index()].name.clone(), region.name.clone())
+            (
+                topology.endpoints[id.index()].name.clone(),
+                region.name.clone(),
+            )
         })
     });
     let mut out = headers::end_to_end(&head.headers);
--- a/crates/entry/src/persist.rs
+++ b/crates/entry/src/persist.rs
@@ -27,7 +27,9 @@
     let deadline = shared.now() + GIVE_UP;
     let mut pause = PAUSE.0;
     loop {
-        let proposed = shared.control.propose(command.clone(), request.clone(), PROPOSE_TIME);
+        let proposed = shared
+            .control
+            .propose(command.clone(), request.clone(), PROPOSE_TIME);
         if let ProposeResult::Outcome(outcome) = proposed.await {
             return Some(outcome);
         }
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -65,9 +65,9 @@
                 lease.keep_use_time();
                 lease
             }
-            None => {
-                lease(shared, target, address, Freshness::New, start + TIMEOUT).await.ok()?
-            }
+            None => lease(shared, target, address, Freshness::New, start + TIMEOUT)
+                .await
+                .ok()?,
         };
         let path = "/internal/v1/probe";
         let body = fetch::get(shared, lease, address, path, MAX_PROBE_BYTES).await?;
--- a/crates/entry/src/public_api.rs
+++ b/crates/entry/src/public_api.rs
@@ -43,7 +43,9 @@
         Err(refusal) => {
             let name = refusal.kind.row().name;
             shared.metrics.refused.with_label_values(&[name]).inc();
-            shared.explain.step(&id, shared.now(), Step::Refused(refusal.kind));
+            shared
+                .explain
+                .step(&id, shared.now(), Step::Refused(refusal.kind));
             problem(&refusal, &id)
         }
     }
@@ -57,7 +59,11 @@
 ) -> Result<Answer, Refusal> {
     inbound::check_headers(req)?;
     let now = shared.now();
-    let path = req.uri().path().strip_prefix(SERVICE_PATH).unwrap_or_default();
+    let path = req
+        .uri()
+        .path()
+        .strip_prefix(SERVICE_PATH)
+        .unwrap_or_default();
     let name = path.split('/').next().unwrap_or_default();
     let client = client_address(req)?;
     let found = shared.decide(|d, _| {
@@ -134,11 +140,7 @@
     }
 }
 
-async fn query(
-    shared: &Shared,
-    service: &str,
-    key: &str,
-) -> Result<serde_json::Value, Refusal> {
+async fn query(shared: &Shared, service: &str, key: &str) -> Result<serde_json::Value, Refusal> {
     let key = actions::check_key(Some(key))?;
     let Some(service) = shared.decide(|d, _| d.config.topology.service_by_name(service))? else {
         return Err(ErrorKind::UnknownService.into());
--- a/crates/entry/src/remote.rs
+++ b/crates/entry/src/remote.rs
@@ -44,7 +44,10 @@
 pub(crate) fn internal_address(shared: &Shared, topology: &Topology, id: EntryId) -> SocketAddr {
     let entry = &topology.entries[id.index()];
     let overrides = &shared.settings.address_overrides;
-    overrides.get(&entry.name).copied().unwrap_or(entry.internal_address)
+    overrides
+        .get(&entry.name)
+        .copied()
+        .unwrap_or(entry.internal_address)
 }
 
 /// Sends a request to an owner and waits for the start of its answer.
--- a/crates/entry/src/reservations.rs
+++ b/crates/entry/src/reservations.rs
@@ -30,7 +30,9 @@
     /// Takes the permit of a reservation, if it is still valid for the service.
     pub(crate) fn take(&self, id: &str, service: ServiceId) -> Option<PermitGuard> {
         let reserved = self.lock().remove(id);
-        reserved.filter(|(s, _)| *s == service).map(|(_, permit)| permit)
+        reserved
+            .filter(|(s, _)| *s == service)
+            .map(|(_, permit)| permit)
     }
 
     /// Gives the slot of a reservation back, if it was not used.
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -33,9 +33,7 @@
     match req.app_config().local_addr() == internal.0 {
         _ if get && path == "/livez" => status_api::livez().await,
         _ if get && path == "/readyz" => status_api::readyz(shared).await,
-        true if path.starts_with(FORWARD_PATH) => {
-            internal_api::forward(shared, req, payload).await
-        }
+        true if path.starts_with(FORWARD_PATH) => internal_api::forward(shared, req, payload).await,
         true if path.starts_with(RESERVE_PATH) && req.method() == Method::POST => {
             internal_api::reserve(shared, req).await
         }
@@ -54,9 +52,7 @@
             },
             _ => not_found(&req),
         },
-        false if path.starts_with(SERVICE_PATH) => {
-            public_api::service(shared, req, payload).await
-        }
+        false if path.starts_with(SERVICE_PATH) => public_api::service(shared, req, payload).await,
         false if get && path == "/v1/lookup" => match query(&req) {
             Ok(query) => lookup::lookup(shared, &req, query),
             Err(refusal) => problem(&refusal, &request_id(&req)),
@@ -64,9 +60,7 @@
         false if get && path.starts_with(ACTIONS_PATH) => {
             let rest = path[ACTIONS_PATH.len()..].to_string();
             match rest.split_once('/') {
-                Some((service, key)) => {
-                    public_api::action_state(shared, &req, service, key).await
-                }
+                Some((service, key)) => public_api::action_state(shared, &req, service, key).await,
                 None => not_found(&req),
             }
         }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,6 +1,6 @@
 use crate::control::Control;
-use crate::shared::Shared;
 use crate::routes::{InternalAddress, route};
+use crate::shared::Shared;
 use crate::{drain, follow, health, liveness, probe, queue, vm_list};
 use actix_web::dev::ServerHandle;
 use actix_web::http::KeepAlive;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -92,7 +92,9 @@
     /// Locks the deciding parts; `None` inside until the first configuration has arrived.
     pub(crate) fn lock(&self) -> MutexGuard<'_, Option<Decisions>> {
         // The deciding crates return errors instead of panicking while the lock is held.
-        self.decisions.lock().unwrap_or_else(PoisonError::into_inner)
+        self.decisions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Runs `f` on the deciding parts; an error until the first configuration has arrived.
@@ -124,7 +126,10 @@
     pub(crate) fn install(&self, config: &Arc<Config>) {
         let now = self.now();
         let mut guard = self.lock();
-        if config.version == 0 || guard.as_ref().is_some_and(|d| d.config.version >= config.version)
+        if config.version == 0
+            || guard
+                .as_ref()
+                .is_some_and(|d| d.config.version >= config.version)
         {
             return;
         }
@@ -133,7 +138,12 @@
                 event!(Error, "entry_not_in_topology", "entry" => self.settings.name);
                 return;
             };
-            *guard = Some(Decisions::new(entry, Arc::clone(config), now, self.incarnation));
+            *guard = Some(Decisions::new(
+                entry,
+                Arc::clone(config),
+                now,
+                self.incarnation,
+            ));
         }
         let Some(decisions) = guard.as_mut() else {
             return;
--- a/crates/entry/src/status_api.rs
+++ b/crates/entry/src/status_api.rs
@@ -68,7 +68,9 @@
                 })
             })
             .collect();
-        let age = d.confirmed_at.map(|at| now.saturating_sub(at).as_millis() as u64);
+        let age = d
+            .confirmed_at
+            .map(|at| now.saturating_sub(at).as_millis() as u64);
         json!({
             "config_version": d.config.version,
             "confirmation_age_ms": age,
@@ -92,10 +94,7 @@
 }
 
 /// Why a recent request went where it went.
-pub(crate) async fn explain(
-    shared: web::Data<Arc<Shared>>,
-    query: ExplainQuery,
-) -> HttpResponse {
+pub(crate) async fn explain(shared: web::Data<Arc<Shared>>, query: ExplainQuery) -> HttpResponse {
     let Some(found) = shared.explain.find(&query.request) else {
         let refusal = Refusal::new(ErrorKind::NotFound, "not among the recent requests");
         return problem(&refusal, &query.request);
@@ -131,7 +130,9 @@
         let owned = (d.config.topology.endpoint_ids())
             .filter(|id| d.config.owner_of(*id) == Some(d.entry))
             .count();
-        let age = d.confirmed_at.map(|at| now.saturating_sub(at).as_millis() as i64);
+        let age = d
+            .confirmed_at
+            .map(|at| now.saturating_sub(at).as_millis() as i64);
         (owned, age)
     });
     if let Ok((owned, age)) = state {
@@ -151,12 +152,16 @@
         })
     };
     match step {
-        Step::Received { service, class, home } => {
-            arrival("received", service.index(), class.as_str(), home.index())
-        }
-        Step::Forwarded { service, class, home } => {
-            arrival("forwarded", service.index(), class.as_str(), home.index())
-        }
+        Step::Received {
+            service,
+            class,
+            home,
+        } => arrival("received", service.index(), class.as_str(), home.index()),
+        Step::Forwarded {
+            service,
+            class,
+            home,
+        } => arrival("forwarded", service.index(), class.as_str(), home.index()),
         Step::Chosen(id) => json!({ "step": "owner_chosen", "owner": entry(id) }),
         Step::Hedged(id) => json!({ "step": "hedged", "owner": entry(id) }),
         Step::Failed(id, kind) => json!({
--- a/crates/entry/src/vm_list.rs
+++ b/crates/entry/src/vm_list.rs
@@ -1,7 +1,7 @@
 //! Reading the platform's list of live and leaving VMs.
 
-use crate::fetch;
 use crate::client::{Connection, Lease, Pool, Target};
+use crate::fetch;
 use crate::shared::Shared;
 use mangospindle_model::EndpointId;
 use mangospindle_quota::EndpointReading;
@@ -77,7 +77,9 @@
     path: &str,
 ) -> Option<VmList> {
     let mut lease = Lease::unopened(Arc::clone(pool), Target::Endpoint(EndpointId(0)));
-    let connection = Connection::open(address, shared.now(), TIMEOUT).await.ok()?;
+    let connection = Connection::open(address, shared.now(), TIMEOUT)
+        .await
+        .ok()?;
     lease.set_connection(connection);
     let body = fetch::get(shared, lease, address, path, MAX_LIST_BYTES).await?;
     pool.clear(Target::Endpoint(EndpointId(0)));
