--- /dev/null
+++ b/crates/quota/src/admission/dispatch.rs
@@ -0,0 +1,155 @@
+use super::{Admission, PermitRecord};
+use crate::class_queue::Queued;
+use crate::{Action, Permit};
+use mangospindle_model::{ErrorKind, RequestClass, ServiceId};
+use rand::Rng;
+use std::time::Duration;
+
+/// Costs within this factor are equal; then the reported load decides.
+const EQUAL_FACTOR: f64 = 1.1;
+
+impl Admission {
+    /// Position of a class in the shed order of a service's profile; 0 is shed first.
+    pub(super) fn rank(&self, service: ServiceId, class: RequestClass) -> usize {
+        let profile = self.config.profile_of(service);
+        let in_profile = profile.and_then(|p| p.shed_order.iter().position(|c| *c == class));
+        let default = RequestClass::ALL.iter().position(|c| *c == class);
+        in_profile.or(default).unwrap_or(0).min(2)
+    }
+
+    /// Dispatches a request if all limits allow it now.
+    pub(super) fn try_dispatch(&mut self, now: Duration, queued: &Queued) -> Option<Permit> {
+        let request = queued.request;
+        if now >= queued.deadline || !self.confirmed_once || self.is_fenced() {
+            return None;
+        }
+        if self.region_in_flight >= self.region_part(now)
+            || !self.cross_region_admits(now, request.service, request.home)
+        {
+            return None;
+        }
+        let rank = self.rank(request.service, request.class);
+        let position = self.pick_endpoint(now, request.service, rank)?;
+        if request.home != self.region {
+            let profile = self.config.profile_of(request.service)?;
+            let service = self.services.get_mut(request.service.index())?;
+            service
+                .cross
+                .get_mut(request.home.index())?
+                .admit(now, profile);
+        }
+        let max_deadline = self.config.topology.services[request.service.index()].max_deadline;
+        let endpoint = &mut self.endpoints[position];
+        endpoint.in_flight += 1;
+        endpoint.stats.sent();
+        self.region_in_flight += 1;
+        let id = self.next_id;
+        self.next_id += 1;
+        let record = PermitRecord {
+            position,
+            home: request.home,
+        };
+        self.permits.insert(id, record);
+        Some(Permit {
+            id,
+            endpoint: self.endpoints[position].id,
+            deadline: queued.deadline.min(now + max_deadline),
+        })
+    }
+
+    /// Chooses an endpoint with a free slot: two are drawn at random and the one with the lower
+    /// cost by own observations is taken.
+    fn pick_endpoint(&mut self, now: Duration, service: ServiceId, rank: usize) -> Option<usize> {
+        let state = &self.services[service.index()];
+        let usable = |i: &&usize| self.endpoints[**i].is_usable(now);
+        let usable: Vec<usize> = state.endpoints.iter().filter(usable).copied().collect();
+        let all_suspect = usable.iter().all(|i| self.endpoints[*i].is_suspect(now));
+        let best_ramp = (usable.iter())
+            .map(|i| self.endpoints[*i].stats.ramp(now))
+            .fold(0.0, f64::max);
+        let free = |i: &usize| {
+            let e = &self.endpoints[*i];
+            let ramped = e.ramped_slots(now, best_ramp);
+            let skipped = e.stats.is_ejected(now) || (e.is_suspect(now) && !all_suspect);
+            if skipped {
+                0
+            } else {
+                ramped.saturating_sub(e.in_flight)
+            }
+        };
+        let total_free: u32 = usable.iter().map(free).sum();
+        if total_free <= self.reserved_slots(now, service, rank) {
+            return None;
+        }
+        let candidates: Vec<usize> = usable.iter().copied().filter(|i| free(i) > 0).collect();
+        let usual_s = state.usual_s();
+        let mut draw = || {
+            candidates
+                .get(self.rng.random_range(0..candidates.len()))
+                .copied()
+        };
+        let (first, second) = (draw()?, draw()?);
+        let cost = |i: usize| {
+            let e = &self.endpoints[i];
+            e.stats.cost(now, e.slots, usual_s)
+        };
+        let (a, b) = (cost(first), cost(second));
+        if a.max(b) <= a.min(b) * EQUAL_FACTOR {
+            let lighter = self.endpoints[second].load < self.endpoints[first].load;
+            return Some(if lighter { second } else { first });
+        }
+        Some(if b < a { second } else { first })
+    }
+
+    /// Starts queued requests for which slots are free, the class that is shed last first.
+    pub(super) fn pump(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for service in 0..self.services.len() {
+            for rank in (0..3).rev() {
+                let mut position = 0;
+                while let Some(queued) = self.services[service].queue.get(rank, position) {
+                    // Expired requests are refused by `expire`.
+                    let waiting = queued.expires > now;
+                    let permit = waiting.then(|| self.try_dispatch(now, &queued)).flatten();
+                    if let Some(permit) = permit {
+                        self.services[service].queue.remove(rank, position);
+                        let ticket = queued.ticket;
+                        actions.push(Action::Dispatch { ticket, permit });
+                    } else if waiting && queued.request.home == self.region {
+                        break;
+                    } else {
+                        // Requests behind a cross-region one may fit.
+                        position += 1;
+                    }
+                }
+            }
+        }
+    }
+
+    /// The error for a request that found no slot.
+    pub(super) fn refusal(&self, service: ServiceId, rank: usize) -> ErrorKind {
+        let state = &self.services[service.index()];
+        match state.queue.has_later_shed(rank) {
+            true => ErrorKind::Shed,
+            false => ErrorKind::NoCapacity,
+        }
+    }
+
+    /// Free slots that a class leaves to classes that are shed later.
+    fn reserved_slots(&self, now: Duration, service: ServiceId, rank: usize) -> u32 {
+        let state = &self.services[service.index()];
+        let wanted = (state.protected_at).is_some_and(|t| now < t + Self::RESERVE_FOR);
+        match rank {
+            0 if wanted => {
+                let usable = |i: &&usize| self.endpoints[**i].is_usable(now);
+                let usable = state.endpoints.iter().filter(usable);
+                let slots: u32 = usable.map(|i| self.endpoints[*i].slots).sum();
+                if slots >= Self::RESERVE_FROM {
+                    Self::RESERVED
+                } else {
+                    0
+                }
+            }
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/quota/src/admission/ownership.rs
@@ -0,0 +1,167 @@
+use super::{Admission, EndpointState};
+use crate::{Action, cross_region::CrossRegion};
+use mangospindle_model::preferred_owner;
+use mangospindle_routing::TargetStats;
+use mangospindle_state::{EntryStatus, Takeover};
+use std::time::Duration;
+
+impl Admission {
+    /// Adds the region's new endpoints. Endpoints are only appended to a topology, so that
+    /// positions are the same in all processes.
+    pub(super) fn add_endpoints(&mut self, now: Duration) {
+        let topology = &self.config.topology;
+        for id in topology.endpoint_ids() {
+            if topology.endpoint_region(id) != self.region || self.positions.contains_key(&id) {
+                continue;
+            }
+            let item = &topology.endpoints[id.index()];
+            let position = self.endpoints.len();
+            let (slots, connections) = (item.slots, item.max_connections);
+            let state = EndpointState::new(id, item.service, slots, connections, now);
+            self.endpoints.push(state);
+            self.positions.insert(id, position);
+            self.services[item.service.index()].endpoints.push(position);
+        }
+    }
+
+    /// Takes ownership and operator drains from the configuration.
+    pub(super) fn update_ownership(&mut self, now: Duration) {
+        let config = self.config.clone();
+        for position in 0..self.endpoints.len() {
+            let endpoint = &mut self.endpoints[position];
+            let id = endpoint.id;
+            endpoint.leaving_by_operator = config.endpoint_drain[id.index()];
+            let ownership = config.ownership[id.index()];
+            if ownership.owner != Some(self.entry) {
+                endpoint.owned = None;
+                endpoint.stay();
+            } else if endpoint.owned != Some(ownership.epoch) {
+                self.take_over(now, position, ownership.epoch, ownership.takeover);
+            }
+        }
+    }
+
+    fn take_over(&mut self, now: Duration, position: usize, epoch: u64, takeover: Takeover) {
+        let hold = self.region_hold();
+        let service = self.endpoints[position].service;
+        let wait = self.config.topology.services[service.index()].max_deadline;
+        // An earlier process of this entry may have dispatched under any ownership that is seen
+        // before the first confirmation.
+        let restarted = !self.confirmed_once;
+        let lost = takeover == Takeover::Quarantine;
+        let endpoint = &mut self.endpoints[position];
+        endpoint.owned = Some(epoch);
+        endpoint.stay();
+        endpoint.usable_from = match (lost, restarted) {
+            (true, _) => now + wait,
+            (false, true) => self.started + wait,
+            (false, false) => now,
+        };
+        endpoint.share_from = match lost {
+            // Requests of the lost owner at other endpoints may use this endpoint's share.
+            true if self.region_limited => now + hold,
+            _ => endpoint.usable_from,
+        };
+        // The previous owner may have used the endpoint's share until a moment ago.
+        endpoint.cross_from = endpoint.usable_from.max(now + CrossRegion::WINDOW);
+        if lost || restarted || epoch <= 1 {
+            endpoint.stats = TargetStats::new(endpoint.usable_from);
+        } else {
+            // A warm endpoint only changed its owner: no slow start.
+            let warm = endpoint.usable_from.saturating_sub(TargetStats::SLOW_START);
+            endpoint.stats = TargetStats::new(warm);
+        }
+    }
+
+    /// Starts the release of endpoints whose preferred owner is another entry: one at a time per
+    /// service, so that the service keeps its other endpoints meanwhile.
+    pub(super) fn start_rehoming(&mut self) {
+        let config = self.config.clone();
+        for service in 0..self.services.len() {
+            let positions = self.services[service].endpoints.clone();
+            let ids: Vec<_> = self.endpoints.iter().map(|e| e.id).collect();
+            let foreign = |i: &usize| {
+                let id = ids[*i];
+                let preferred = preferred_owner(&config.topology, id, |e| config.is_active(e));
+                preferred.is_some_and(|p| p != self.entry)
+            };
+            for i in &positions {
+                let endpoint = &self.endpoints[*i];
+                if endpoint.rehoming && !endpoint.released && !foreign(i) {
+                    self.endpoints[*i].stay();
+                }
+            }
+            let owned = |i: &usize| self.endpoints[*i].owned.is_some();
+            if (positions.iter()).any(|i| owned(i) && self.endpoints[*i].is_going()) {
+                continue;
+            }
+            let next = (positions.iter().copied())
+                .filter(|i| owned(i) && foreign(i))
+                .min_by_key(|i| self.endpoints[*i].in_flight);
+            if let Some(position) = next {
+                self.endpoints[position].rehoming = true;
+            }
+        }
+    }
+
+    /// Reports endpoints that are drained or ready to be released.
+    pub(super) fn report_drains(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for position in 0..self.endpoints.len() {
+            let endpoint = &mut self.endpoints[position];
+            if endpoint.owned.is_none() {
+                endpoint.drain_started = None;
+                endpoint.drain_reported = false;
+                continue;
+            }
+            match (endpoint.is_leaving(), endpoint.drain_started) {
+                (true, None) => endpoint.drain_started = Some(now),
+                (false, Some(_)) => {
+                    endpoint.drain_started = None;
+                    endpoint.drain_reported = false;
+                    endpoint.stats.restart_ramp(now);
+                }
+                _ => {}
+            }
+            let idle = endpoint.in_flight == 0;
+            match endpoint.drain_started {
+                Some(started) if idle && !endpoint.drain_reported => {
+                    endpoint.drain_reported = true;
+                    actions.push(Action::Drained {
+                        endpoint: endpoint.id,
+                        drain_time: now - started,
+                    });
+                }
+                _ => {}
+            }
+            if endpoint.rehoming && !endpoint.released && idle {
+                self.release(now, position, actions);
+            }
+        }
+    }
+
+    fn release(&mut self, now: Duration, position: usize, actions: &mut Vec<Action>) {
+        // The next owner gets the endpoint's share, so that this owner must fit into the others.
+        let fits = self.region_in_flight <= self.region_part(now);
+        let endpoint = &mut self.endpoints[position];
+        if endpoint.connections > 0 {
+            if std::mem::replace(&mut endpoint.closing, true) {
+                return;
+            }
+            actions.push(Action::CloseConnections {
+                endpoint: endpoint.id,
+            });
+        } else if let (true, Some(epoch)) = (fits, endpoint.owned) {
+            endpoint.released = true;
+            actions.push(Action::ReadyToRelease {
+                endpoint: endpoint.id,
+                epoch,
+            });
+        }
+    }
+
+    /// Whether the configuration says that this entry's VM is gone.
+    pub(super) fn is_fenced(&self) -> bool {
+        let status = self.config.entry_status.get(self.entry.index());
+        matches!(status, Some(EntryStatus::Fenced))
+    }
+}
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -8,13 +8,18 @@
 mod action;
 mod admission;
 mod admission_request;
+mod class_queue;
+mod cross_region;
 mod decision;
 mod endpoint_reading;
 mod link_grant;
 mod link_shaper;
 mod permit;
 mod request_result;
+mod share_history;
+mod shares;
 mod ticket;
+mod token_bucket;
 
 pub use action::Action;
 pub use admission::Admission;
