--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -77,11 +77,11 @@
         None => client_address(req)?,
     };
     let leaving = shared.drain.phase() != DrainPhase::Serving;
-    let found = shared.decide(|d, now| {
+    let found = shared.decide(|d, _| {
         let topology = &d.config.topology;
         let service = topology.service_by_name(&query.service)?;
         let home = d.table.lookup(client);
-        let chosen = d.router.lookup(now, &home, service);
+        let chosen = d.router.lookup(&home, service);
         // A stopping entry leaves its own answers before the agreed state says so.
         let others = chosen.len() > 1;
         let entries = chosen
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -78,7 +78,7 @@
     // Without a configuration there is nothing to update.
     let _missing = shared.decide(|d, now| {
         let round_trip = answer.as_ref().map(|_| round_trip);
-        d.router.observe_probe(now, entry, round_trip);
+        d.router.observe_probe(entry, round_trip);
         for (name, free) in answer.iter().flat_map(|a| &a.free_slots) {
             if let Some(service) = d.config.topology.service_by_name(name) {
                 let event = OwnerEvent::FreeSlots { free: *free };
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -141,7 +141,7 @@
             *guard = Some(Decisions::new(
                 entry,
                 Arc::clone(config),
-                now,
+                self.started_at,
                 self.incarnation,
             ));
         }
