Use the HTTP codec of actix-http for connections to endpoints and entries

Cause: the entry had its own encoder of requests and its own parser of heads and chunked bodies. The project wants no protocol code of its own where a library has it.

Ruled out: awc itself. It pools connections out of sight, but the entry has to count every connection against an endpoint's limit, must know when each last proved alive, and keeps a permit until a connection with an abandoned request is closed. awc builds on the same codec, so that only the codec is shared.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -64,7 +64,10 @@
         };
         headers::set(&mut head.headers, DEADLINE, &left.to_string());
         headers::set(&mut head.headers, REQUEST_ID, &cx.id);
-        let upload = Upload::new(head.encode(plan.address, framing), framing, body);
+        let Ok(upload) = Upload::new(head, plan.address, framing, body) else {
+            let refusal = Refusal::new(ErrorKind::BadRequest, "the path cannot be forwarded");
+            return Err((refusal, permit));
+        };
         Ok(Call {
             reused: lease.is_reused(),
             exchange: Some(Exchange::new(lease, outbound.method.clone(), upload)),
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -1,4 +1,7 @@
-//! HTTP/1.1 client for endpoints and other entries.
+//! HTTP/1.1 connections to endpoints and other entries, over the codec of `actix-http`.
+//!
+//! `awc` builds on the same codec but hides its connections. This module needs them: it counts every
+//! connection, knows when each one last proved alive, and gives one back only after the whole answer.
 //!
 //! Invariants:
 //! - One request is on a connection at a time.
@@ -7,7 +10,7 @@
 //! - An answer whose end cannot be proved by its length or its last chunk is an error.
 
 mod body_error;
-mod chunk_decoder;
+mod codec;
 mod connection;
 mod exchange;
 mod exchange_error;
--- /dev/null
+++ b/crates/entry/src/client/codec.rs
@@ -0,0 +1,59 @@
+use super::{BodyFraming, ExchangeError, RequestHead};
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, Message};
+use actix_http::{RequestHeadType, ServiceConfig};
+use actix_web::http::header::{HOST, HeaderValue};
+use bytes::{Bytes, BytesMut};
+use std::net::SocketAddr;
+use tokio_util::codec::Encoder;
+
+thread_local! {
+    // A configuration starts a task that keeps its date, so that each thread has only one.
+    static CONFIG: ServiceConfig = ServiceConfig::default();
+}
+
+/// A codec for one direction of one exchange.
+pub(crate) fn client_codec() -> ClientCodec {
+    ClientCodec::new(CONFIG.with(ServiceConfig::clone))
+}
+
+/// Encodes the parts of a request with the library's codec.
+pub(crate) struct RequestEncoder(ClientCodec);
+
+impl RequestEncoder {
+    /// Starts a request and appends its head to `out`.
+    pub(crate) fn start(
+        head: RequestHead,
+        host: SocketAddr,
+        framing: BodyFraming,
+        out: &mut BytesMut,
+    ) -> Result<Self, ExchangeError> {
+        let malformed = |_| ExchangeError::Malformed;
+        let mut wire = actix_http::RequestHead::default();
+        wire.method = head.method;
+        wire.uri = head.path.parse().map_err(malformed)?;
+        wire.headers = head.headers;
+        let host =
+            HeaderValue::from_str(&host.to_string()).map_err(|_| ExchangeError::Malformed)?;
+        wire.headers.insert(HOST, host);
+        let size = match framing {
+            BodyFraming::None => BodySize::None,
+            BodyFraming::Length(n) => BodySize::Sized(n),
+            BodyFraming::Chunked => BodySize::Stream,
+        };
+        let mut codec = client_codec();
+        codec
+            .encode(Message::Item((RequestHeadType::Owned(wire), size)), out)
+            .map_err(|_| ExchangeError::Malformed)?;
+        Ok(RequestEncoder(codec))
+    }
+
+    /// Appends a piece of the body, or its end, to `out`.
+    pub(crate) fn body(
+        &mut self,
+        chunk: Option<Bytes>,
+        out: &mut BytesMut,
+    ) -> Result<(), ExchangeError> {
+        (self.0.encode(Message::Chunk(chunk), out)).map_err(|_| ExchangeError::Malformed)
+    }
+}
--- a/crates/entry/src/client/exchange.rs
+++ b/crates/entry/src/client/exchange.rs
@@ -1,12 +1,14 @@
-use super::chunk_decoder::ChunkDecoder;
+use super::codec::client_codec;
 use super::{BodyFraming, Connection, ExchangeError, Lease, ResponseHead, Upload};
-use actix_web::http::Method;
-use bytes::{Bytes, BytesMut};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec};
+use actix_web::http::{Method, StatusCode};
+use bytes::Bytes;
 use mangospindle_model::Clock;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use tokio_util::codec::Decoder;
 
 /// Room for reads before the start of an answer, in bytes. Most answers fit.
 const HEAD_READ_BYTES: usize = 4 * 1024;
@@ -14,12 +16,13 @@
 /// Room for reads of a body, in bytes. Bounds what waits in memory per request.
 const BODY_READ_BYTES: usize = 32 * 1024;
 
+/// Longest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// What is still to be read of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Rest {
-    Head,
-    Length(u64),
-    Chunks(ChunkDecoder),
+    Head(ClientCodec),
+    Body(ClientPayloadCodec),
     Nothing,
 }
 
@@ -43,7 +46,7 @@
             upload,
             upload_failed: false,
             method,
-            rest: Rest::Head,
+            rest: Rest::Head(client_codec()),
             keep_alive: false,
         }
     }
@@ -55,7 +58,7 @@
 
     /// Whether the start of the answer has arrived.
     pub(crate) fn has_head(&self) -> bool {
-        self.rest != Rest::Head
+        !matches!(self.rest, Rest::Head(_))
     }
 
     /// Writes the request and waits for the start of the answer.
@@ -66,12 +69,15 @@
             connection.used_at = connection.proved_at;
         }
         self.keep_alive = head.keep_alive;
-        self.rest = match head.framing {
-            BodyFraming::None | BodyFraming::Length(0) => Rest::Nothing,
-            BodyFraming::Length(n) => Rest::Length(n),
-            BodyFraming::Chunked => Rest::Chunks(ChunkDecoder::Size),
+        self.rest = match (
+            head.framing,
+            std::mem::replace(&mut self.rest, Rest::Nothing),
+        ) {
+            (BodyFraming::None | BodyFraming::Length(0), _) => Rest::Nothing,
+            (_, Rest::Head(codec)) => Rest::Body(codec.into_payload_codec()),
+            (_, rest) => rest,
         };
-        if self.rest == Rest::Nothing {
+        if matches!(self.rest, Rest::Nothing) {
             self.finish();
         }
         Ok(head)
@@ -89,7 +95,7 @@
                     return Poll::Ready(Some(Err(e)));
                 }
                 Ok(Some(chunk)) => return Poll::Ready(Some(Ok(chunk))),
-                Ok(None) if self.rest == Rest::Nothing => {
+                Ok(None) if matches!(self.rest, Rest::Nothing) => {
                     self.finish();
                     return Poll::Ready(None);
                 }
@@ -116,11 +122,7 @@
 
     fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<HeadResult> {
         loop {
-            let method = self.method.clone();
-            if let Some(head) = match self.buf() {
-                Some(buf) => ResponseHead::decode(buf, &method)?,
-                None => return Poll::Ready(Err(ExchangeError::Closed)),
-            } {
+            if let Some(head) = self.decode_head()? {
                 return Poll::Ready(Ok(head));
             }
             self.drive_upload(cx)?;
@@ -157,35 +159,50 @@
         };
         // Grows with the answer, so that idle connections hold little memory.
         buf.reserve(match self.rest {
-            Rest::Head => HEAD_READ_BYTES,
-            _ => BODY_READ_BYTES,
+            Rest::Head(_) => HEAD_READ_BYTES,
+            Rest::Body(_) | Rest::Nothing => BODY_READ_BYTES,
         });
         tokio_util::io::poll_read_buf(Pin::new(stream), cx, buf)
     }
 
-    fn decode(&mut self) -> Result<Option<Bytes>, ExchangeError> {
-        let Some(Connection { buf, .. }) = self.lease.as_mut().and_then(Lease::connection) else {
-            return Ok(None);
+    /// Takes the head of the answer from what was read; interim answers are skipped.
+    fn decode_head(&mut self) -> Result<Option<ResponseHead>, ExchangeError> {
+        let Rest::Head(codec) = &mut self.rest else {
+            return Err(ExchangeError::Malformed);
+        };
+        let Some(connection) = self.lease.as_mut().and_then(Lease::connection) else {
+            return Err(ExchangeError::Closed);
         };
-        match &mut self.rest {
-            Rest::Length(_) if buf.is_empty() => Ok(None),
-            Rest::Length(left) => {
-                let n = (*left).min(buf.len() as u64);
-                *left -= n;
-                let chunk = buf.split_to(n as usize).freeze();
-                if *left == 0 {
-                    self.rest = Rest::Nothing;
+        let buf = &mut connection.buf;
+        loop {
+            match codec.decode(buf) {
+                Ok(Some(head)) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
+                    return Err(ExchangeError::Malformed);
                 }
-                Ok(Some(chunk))
+                Ok(Some(head)) if head.status.is_informational() => *codec = client_codec(),
+                Ok(Some(head)) => return ResponseHead::check(&head, &self.method).map(Some),
+                Ok(None) if buf.len() < MAX_HEAD_BYTES => return Ok(None),
+                Ok(None) | Err(_) => return Err(ExchangeError::Malformed),
             }
-            Rest::Chunks(decoder) => {
-                let chunk = decoder.decode(buf)?;
-                if *decoder == ChunkDecoder::End {
-                    self.rest = Rest::Nothing;
-                }
-                Ok(chunk)
+        }
+    }
+
+    /// Takes the next piece of the body from what was read; `None` if there is none yet.
+    fn decode(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        let (Rest::Body(codec), Some(connection)) = (
+            &mut self.rest,
+            self.lease.as_mut().and_then(Lease::connection),
+        ) else {
+            return Ok(None);
+        };
+        match codec.decode(&mut connection.buf) {
+            Ok(Some(Some(chunk))) => Ok(Some(chunk)),
+            Ok(Some(None)) => {
+                self.rest = Rest::Nothing;
+                Ok(None)
             }
-            Rest::Head | Rest::Nothing => Ok(None),
+            Ok(None) => Ok(None),
+            Err(_) => Err(ExchangeError::Malformed),
         }
     }
 
@@ -198,11 +215,6 @@
             }
         }
     }
-
-    fn buf(&mut self) -> Option<&mut BytesMut> {
-        let connection = self.lease.as_mut().and_then(Lease::connection)?;
-        Some(&mut connection.buf)
-    }
 }
 
 /// Start of an answer, or the reason why there is none.
--- a/crates/entry/src/client/response_head.rs
+++ b/crates/entry/src/client/response_head.rs
@@ -1,15 +1,6 @@
 use super::ExchangeError;
-use actix_web::http::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
-};
-use actix_web::http::{Method, StatusCode};
-use bytes::{Buf, BytesMut};
-
-/// Longest head of an answer, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-
-/// Most headers of an answer.
-const MAX_HEADERS: usize = 100;
+use actix_web::http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use actix_web::http::{Method, StatusCode, Version};
 
 /// How the end of a body is recognized.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,47 +25,14 @@
 }
 
 impl ResponseHead {
-    /// Takes a head from `buf`; `None` if more bytes are needed. Interim answers are skipped.
-    pub(crate) fn decode(
-        buf: &mut BytesMut,
-        method: &Method,
-    ) -> Result<Option<ResponseHead>, ExchangeError> {
-        loop {
-            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-            let mut parsed = httparse::Response::new(&mut headers);
-            let len = match parsed.parse(buf) {
-                Ok(httparse::Status::Complete(len)) => len,
-                Ok(httparse::Status::Partial) if buf.len() < MAX_HEAD_BYTES => return Ok(None),
-                Ok(httparse::Status::Partial) | Err(_) => return Err(ExchangeError::Malformed),
-            };
-            let code = parsed.code.unwrap_or_default();
-            if code == 101 || code < 100 {
-                return Err(ExchangeError::Malformed);
-            }
-            if code >= 200 {
-                let head = Self::from_parsed(&parsed, method)?;
-                buf.advance(len);
-                return Ok(Some(head));
-            }
-            buf.advance(len);
-        }
-    }
-
-    fn from_parsed(
-        parsed: &httparse::Response<'_, '_>,
+    /// Checks a head that was decoded from the answer to a request with this method.
+    pub(crate) fn check(
+        head: &actix_http::ResponseHead,
         method: &Method,
     ) -> Result<ResponseHead, ExchangeError> {
-        let malformed = |_| ExchangeError::Malformed;
-        let code = parsed.code.unwrap_or_default();
-        let mut headers = HeaderMap::with_capacity(parsed.headers.len());
-        for header in parsed.headers.iter() {
-            headers.append(
-                HeaderName::from_bytes(header.name.as_bytes())
-                    .map_err(|_| ExchangeError::Malformed)?,
-                HeaderValue::from_bytes(header.value).map_err(|_| ExchangeError::Malformed)?,
-            );
-        }
-        let status = StatusCode::from_u16(code).map_err(malformed)?;
+        let status = head.status;
+        let code = status.as_u16();
+        let headers = head.headers().clone();
         let declared = declared_length(&headers)?;
         let chunked = match headers.get_all(TRANSFER_ENCODING).collect::<Vec<_>>()[..] {
             [] => false,
@@ -100,7 +58,7 @@
             headers,
             framing,
             declared,
-            keep_alive: parsed.version == Some(1) && !close,
+            keep_alive: head.version == Version::HTTP_11 && !close,
         })
     }
 }
--- a/crates/entry/src/client/upload.rs
+++ b/crates/entry/src/client/upload.rs
@@ -1,6 +1,8 @@
-use super::{BodyError, BodyFraming, ExchangeError};
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use super::codec::RequestEncoder;
+use super::{BodyError, BodyFraming, ExchangeError, RequestHead};
+use bytes::{Buf, Bytes, BytesMut};
 use futures::Stream;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use tokio::io::AsyncWrite;
@@ -11,6 +13,7 @@
 
 /// A request on its way to the other side. Holds at most one chunk of the body.
 pub(crate) struct Upload {
+    encoder: RequestEncoder,
     out: BytesMut,
     body: Option<BodyStream>,
     framing: BodyFraming,
@@ -18,14 +21,22 @@
 }
 
 impl Upload {
-    /// Starts with an encoded head. `body` must be given unless `framing` is `None`.
-    pub(crate) fn new(head: BytesMut, framing: BodyFraming, body: Option<BodyStream>) -> Self {
-        Upload {
-            out: head,
+    /// Prepares a request. `body` must be given unless `framing` is `None`.
+    pub(crate) fn new(
+        head: RequestHead,
+        host: SocketAddr,
+        framing: BodyFraming,
+        body: Option<BodyStream>,
+    ) -> Result<Self, ExchangeError> {
+        let mut out = BytesMut::new();
+        let encoder = RequestEncoder::start(head, host, framing, &mut out)?;
+        Ok(Upload {
+            encoder,
+            out,
             body: body.filter(|_| framing != BodyFraming::None),
             framing,
             written: 0,
-        }
+        })
     }
 
     /// Whether a byte may have left this process.
@@ -66,23 +77,18 @@
                         return Poll::Ready(Err(ExchangeError::Body(BodyError::LengthMismatch)));
                     };
                     *left = rest;
-                    self.out.put(chunk);
+                    self.encoder.body(Some(chunk), &mut self.out)?;
                 }
+                // An empty chunk would be encoded as the end of the body.
                 (Some(Ok(chunk)), _) if chunk.is_empty() => {}
-                (Some(Ok(chunk)), _) => {
-                    self.out
-                        .put_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
-                    self.out.put(chunk);
-                    self.out.put_slice(b"\r\n");
-                }
+                (Some(Ok(chunk)), _) => self.encoder.body(Some(chunk), &mut self.out)?,
                 (None, BodyFraming::Length(left)) if *left > 0 => {
                     return Poll::Ready(Err(ExchangeError::Body(BodyError::LengthMismatch)));
                 }
-                (None, BodyFraming::Chunked) => {
-                    self.out.put_slice(b"0\r\n\r\n");
+                (None, _) => {
+                    self.encoder.body(None, &mut self.out)?;
                     self.body = None;
                 }
-                (None, _) => self.body = None,
             }
         }
     }
