--- /dev/null
+++ b/crates/entry/src/client/response_head.rs
@@ -0,0 +1,80 @@
+use super::ExchangeError;
+use actix_web::http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use actix_web::http::{Method, StatusCode, Version};
+
+/// How the end of a body is recognized.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyFraming {
+    /// There is no body.
+    None,
+    /// The body has this many bytes.
+    Length(u64),
+    /// The body has an end mark.
+    Chunked,
+}
+
+/// The start of an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct ResponseHead {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) framing: BodyFraming,
+    /// `Content-Length` of an answer without a body, such as the answer to `HEAD`.
+    pub(crate) declared: Option<u64>,
+    pub(crate) keep_alive: bool,
+}
+
+impl ResponseHead {
+    /// Checks a head that was decoded from the answer to a request with this method.
+    pub(crate) fn check(
+        head: &actix_http::ResponseHead,
+        method: &Method,
+    ) -> Result<ResponseHead, ExchangeError> {
+        let status = head.status;
+        let code = status.as_u16();
+        let headers = head.headers().clone();
+        let declared = declared_length(&headers)?;
+        let chunked = match headers.get_all(TRANSFER_ENCODING).collect::<Vec<_>>()[..] {
+            [] => false,
+            [v] if v.as_bytes().eq_ignore_ascii_case(b"chunked") => true,
+            _ => return Err(ExchangeError::Malformed),
+        };
+        let bodiless = *method == Method::HEAD || code == 204 || code == 304;
+        let framing = match (declared, chunked) {
+            // Two ways to find the end could disagree.
+            (Some(_), true) => return Err(ExchangeError::Malformed),
+            _ if bodiless => BodyFraming::None,
+            (Some(n), false) => BodyFraming::Length(n),
+            (None, true) => BodyFraming::Chunked,
+            // The end would be the end of the connection, which a failure looks like as well.
+            (None, false) => return Err(ExchangeError::Malformed),
+        };
+        let close = headers.get_all(CONNECTION).any(|v| {
+            (v.to_str().unwrap_or("close").split(','))
+                .any(|t| t.trim().eq_ignore_ascii_case("close"))
+        });
+        Ok(ResponseHead {
+            status,
+            headers,
+            framing,
+            declared,
+            keep_alive: head.version == Version::HTTP_11 && !close,
+        })
+    }
+}
+
+/// The declared length; several declarations are refused even if they agree.
+fn declared_length(headers: &HeaderMap) -> Result<Option<u64>, ExchangeError> {
+    let mut values = headers.get_all(CONTENT_LENGTH);
+    let value = match (values.next(), values.next()) {
+        (None, _) => return Ok(None),
+        (Some(value), None) => value,
+        (Some(_), Some(_)) => return Err(ExchangeError::Malformed),
+    };
+    let digits = value.as_bytes();
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(ExchangeError::Malformed);
+    }
+    let number = value.to_str().ok().and_then(|v| v.parse().ok());
+    number.map(Some).ok_or(ExchangeError::Malformed)
+}
