Add the RPC layer between processes

Cause: replicas and entries need messages with exact results and connections that are noticed when they go silent, since open connections can stop carrying traffic for good while new ones work.

The schema is compiled once and the generated code is committed. Each connection counts received bytes; it is closed when an answer is due and nothing arrived for 350 ms (between replicas, below the shortest election timeout) or 1.4 s (entries, whose watch is answered within 1 s).

A proposal is "not accepted" only if it was never sent or a replica says that it is in no log; every loss after sending is "unknown".

Ruled out: TCP keep-alive and user timeouts, which prove that the kernel answers and not that the process does; the streaming calls of capnp-rpc, whose window hides how long an answer has been due; a ping on every connection every 100 ms, since heartbeats and watches carry traffic already (idle connections between followers are pinged once a second).

--- /dev/null
+++ b/crates/rpc/schema/control.capnp
@@ -0,0 +1,126 @@
+@0xc3b1f0a45d0e9a71;
+# Messages between control replicas and from entries to control replicas.
+#
+# The generated code is committed as `src/control_capnp.rs`; see the module docs of `src/lib.rs` for
+# the command that generates it.
+
+interface Control {
+  # Every control replica offers this interface as the bootstrap capability of a connection.
+
+  watch @0 (request :WatchRequest) -> (reply :WatchReply);
+  # Answered at once when the caller's version is not current, else on the next change or when the
+  # hold time is over.
+
+  propose @1 (command :Data, forwarded :Bool) -> (reply :ProposeReply);
+  # `command` is a postcard-encoded `state::Command`. A forwarded proposal is not forwarded again.
+
+  queryClaim @2 (service :UInt16, key :Text) -> (reply :QueryReply);
+
+  deliver @3 (messages :List(PeerMessage)) -> ();
+  # Messages of the replicated log. The answer only says that they arrived.
+
+  ping @4 () -> ();
+  # Proves that the connection carries traffic.
+}
+
+struct WatchRequest {
+  knownVersion @0 :UInt64;
+  holdMs @1 :UInt32;
+  entry @2 :EntryReport;
+  # Null when the caller is not an entry.
+}
+
+struct EntryReport {
+  entry @0 :UInt16;
+  incarnation @1 :UInt64;
+  draining @2 :Bool;
+}
+
+struct WatchReply {
+  version @0 :UInt64;
+  content :union {
+    unchanged @1 :Void;
+    changes @2 :Data;
+    # postcard-encoded `Vec<ConfigChange>` from the caller's version to `version`.
+    config @3 :Data;
+    # postcard-encoded `Config`.
+  }
+  confirmed :union {
+    never @4 :Void;
+    ageMs @5 :UInt64;
+  }
+  cutOff @6 :Bool;
+  heldMs @7 :UInt32;
+  # How long the replica held the request before it answered.
+}
+
+struct ProposeReply {
+  union {
+    outcome @0 :Data;
+    # postcard-encoded `Outcome`.
+    notAccepted @1 :Void;
+    # The command is in no log.
+    unknown @2 :Void;
+    # The command may have been accepted.
+  }
+}
+
+struct QueryReply {
+  union {
+    answer @0 :Data;
+    # postcard-encoded `ClaimOutcome`.
+    unconfirmed @1 :Void;
+    # The replica could not confirm that its state is current.
+  }
+}
+
+struct Member {
+  replica @0 :UInt16;
+  storageHigh @1 :UInt64;
+  storageLow @2 :UInt64;
+}
+
+struct LogEntry {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  payload :union {
+    noop @2 :Void;
+    command @3 :Data;
+    membership @4 :Data;
+    # postcard-encoded `Membership`.
+  }
+}
+
+struct PeerMessage {
+  # Either a whole message, or one chunk of an `InstallSnapshot` message.
+  from @0 :Member;
+  to @1 :Member;
+  term @2 :UInt64;
+  union {
+    other @3 :Data;
+    # postcard-encoded `MessageKind`, for the small kinds.
+    append @4 :Append;
+    snapshotChunk @5 :SnapshotChunk;
+  }
+}
+
+struct Append {
+  prevIndex @0 :UInt64;
+  prevTerm @1 :UInt64;
+  entries @2 :List(LogEntry);
+  commit @3 :UInt64;
+  round @4 :UInt64;
+  echoMs @5 :UInt64;
+  confirmedAgeMs @6 :UInt64;
+}
+
+struct SnapshotChunk {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  round @2 :UInt64;
+  membership @3 :Data;
+  # postcard-encoded `Membership`.
+  offset @4 :UInt64;
+  total @5 :UInt64;
+  data @6 :Data;
+}
--- /dev/null
+++ b/crates/rpc/src/propose_result.rs
@@ -0,0 +1,40 @@
+use crate::RpcError;
+use crate::control_capnp::propose_reply::{Builder, Reader, Which};
+use mangospindle_state::Outcome;
+
+/// Result of a proposal.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ProposeResult {
+    /// The command was accepted and applied with this outcome.
+    Outcome(Outcome),
+    /// The command is in no log and will not be accepted.
+    NotAccepted,
+    /// The command may have been accepted, or may still be.
+    Unknown,
+}
+
+impl ProposeResult {
+    /// Writes the wire form.
+    pub(crate) fn write(&self, mut builder: Builder<'_>) -> Result<(), RpcError> {
+        match self {
+            ProposeResult::Outcome(outcome) => {
+                builder.set_outcome(&postcard::to_stdvec(outcome)?);
+            }
+            ProposeResult::NotAccepted => builder.set_not_accepted(()),
+            ProposeResult::Unknown => builder.set_unknown(()),
+        }
+        Ok(())
+    }
+}
+
+impl TryFrom<Reader<'_>> for ProposeResult {
+    type Error = RpcError;
+
+    fn try_from(reader: Reader<'_>) -> Result<Self, RpcError> {
+        Ok(match reader.which()? {
+            Which::Outcome(data) => ProposeResult::Outcome(postcard::from_bytes(data?)?),
+            Which::NotAccepted(()) => ProposeResult::NotAccepted,
+            Which::Unknown(()) => ProposeResult::Unknown,
+        })
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/rpc_error.rs
@@ -0,0 +1,42 @@
+use std::io;
+
+/// Why a call has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum RpcError {
+    /// The connection could not be opened.
+    #[error("cannot connect: {0}")]
+    Connect(#[from] io::Error),
+    /// The connection was closed before the answer arrived.
+    #[error("the connection was closed")]
+    Closed,
+    /// The answer did not arrive in time.
+    #[error("no answer in time")]
+    Timeout,
+    /// The other side sent something that is not valid.
+    #[error("invalid message: {0}")]
+    Invalid(String),
+    /// The other side or the protocol layer reported an error.
+    #[error("call failed: {0}")]
+    Call(#[from] capnp::Error),
+}
+
+impl From<postcard::Error> for RpcError {
+    fn from(e: postcard::Error) -> Self {
+        RpcError::Invalid(e.to_string())
+    }
+}
+
+impl From<capnp::NotInSchema> for RpcError {
+    fn from(e: capnp::NotInSchema) -> Self {
+        RpcError::Invalid(e.to_string())
+    }
+}
+
+impl From<RpcError> for capnp::Error {
+    fn from(e: RpcError) -> Self {
+        match e {
+            RpcError::Call(e) => e,
+            other => capnp::Error::failed(other.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/server.rs
@@ -0,0 +1,157 @@
+use crate::connection::rpc_system;
+use crate::control_capnp::control;
+use crate::limits::{MAX_CONNECTIONS, SERVER_SILENCE};
+use crate::link_stats::LinkStats;
+use crate::snapshot_assembly::SnapshotAssembly;
+use crate::wire_message::WireMessage;
+use crate::{ControlService, LinkCounters, MAX_COMMAND_BYTES, ProposeResult, RpcError};
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use mangospindle_model::{Clock, ServiceId};
+use mangospindle_state::ClaimKey;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after a failed `accept`, which happens when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections and serves them on the local task set until the future is dropped.
+pub async fn serve(
+    listener: TcpListener,
+    service: Rc<dyn ControlService>,
+    clock: Arc<dyn Clock>,
+    counters: LinkCounters,
+) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!("cannot accept a connection: {e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if open.get() >= MAX_CONNECTIONS {
+            log::warn!("{MAX_CONNECTIONS} connections are open, closing a new one");
+            continue;
+        }
+        open.set(open.get() + 1);
+        let open = Rc::clone(&open);
+        let stats = LinkStats::new(Arc::clone(&clock), counters.clone());
+        let service = Rc::clone(&service);
+        tokio::task::spawn_local(async move {
+            serve_connection(stream, service, stats).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    service: Rc<dyn ControlService>,
+    stats: Rc<LinkStats>,
+) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!("cannot set TCP_NODELAY: {e}");
+    }
+    let server = ControlServer {
+        service,
+        assembly: RefCell::new(SnapshotAssembly::default()),
+    };
+    let client: control::Client = capnp_rpc::new_client(server);
+    let system = rpc_system(stream, Rc::clone(&stats), Side::Server, Some(client.client));
+    let silent = async {
+        while stats.idle() < SERVER_SILENCE {
+            tokio::time::sleep(SERVER_SILENCE / 5).await;
+        }
+    };
+    tokio::select! {
+        result = system => log::debug!("connection ended: {result:?}"),
+        () = silent => log::debug!("closing a connection without traffic"),
+    }
+}
+
+/// The server's side of one connection.
+struct ControlServer {
+    service: Rc<dyn ControlService>,
+    assembly: RefCell<SnapshotAssembly>,
+}
+
+impl ControlServer {
+    /// Handles the messages before the call returns, so that calls keep their order.
+    fn deliver_now(&self, params: &control::DeliverParams) -> Result<(), RpcError> {
+        let mut messages = Vec::new();
+        for reader in params.get()?.get_messages()?.iter() {
+            match WireMessage::try_from(reader)? {
+                WireMessage::Whole(message) => messages.push(message),
+                WireMessage::Chunk(chunk) => {
+                    messages.extend(self.assembly.borrow_mut().add(chunk)?);
+                }
+            }
+        }
+        self.service.deliver(messages);
+        Ok(())
+    }
+}
+
+impl control::Server for ControlServer {
+    async fn watch(
+        self: Rc<Self>,
+        params: control::WatchParams,
+        mut results: control::WatchResults,
+    ) -> Result<(), capnp::Error> {
+        let request = params.get()?.get_request()?.try_into()?;
+        let reply = self.service.watch(request).await;
+        Ok(reply.write(results.get().init_reply())?)
+    }
+
+    async fn propose(
+        self: Rc<Self>,
+        params: control::ProposeParams,
+        mut results: control::ProposeResults,
+    ) -> Result<(), capnp::Error> {
+        let command = params.get()?.get_command()?;
+        let result = match command.len() <= MAX_COMMAND_BYTES {
+            true => {
+                let forwarded = params.get()?.get_forwarded();
+                self.service.propose(command.to_vec(), forwarded).await
+            }
+            false => ProposeResult::NotAccepted,
+        };
+        Ok(result.write(results.get().init_reply())?)
+    }
+
+    async fn query_claim(
+        self: Rc<Self>,
+        params: control::QueryClaimParams,
+        mut results: control::QueryClaimResults,
+    ) -> Result<(), capnp::Error> {
+        let reader = params.get()?;
+        let key = ClaimKey {
+            service: ServiceId(reader.get_service()),
+            key: reader.get_key()?.to_string()?,
+        };
+        let result = self.service.query_claim(key).await;
+        Ok(result.write(results.get().init_reply())?)
+    }
+
+    fn deliver(
+        self: Rc<Self>,
+        params: control::DeliverParams,
+        _results: control::DeliverResults,
+    ) -> impl Future<Output = Result<(), capnp::Error>> + 'static {
+        std::future::ready(self.deliver_now(&params).map_err(capnp::Error::from))
+    }
+
+    async fn ping(
+        self: Rc<Self>,
+        _params: control::PingParams,
+        _results: control::PingResults,
+    ) -> Result<(), capnp::Error> {
+        Ok(())
+    }
+}
