Add the replica actor and its disk thread

Cause: consensus, log and state need a process around them.

Ruled out: syncing on the thread of the actor, because heartbeats would wait for the disk.

Before: no process. After: actor, disk thread, proposals, queries, VM list; not tested yet.

--- /dev/null
+++ b/crates/control/src/disk.rs
@@ -0,0 +1,148 @@
+use crate::audit_export::AuditFile;
+use mangospindle_consensus::{Entry, HardState, Snapshot};
+use mangospindle_model::Clock;
+use mangospindle_storage::Wal;
+use std::io;
+use std::sync::Arc;
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::time::Duration;
+
+/// Jobs that share one sync at most. Bounds the time until the first of them is answered.
+const MAX_BATCH: usize = 1024;
+
+/// Work for the disk thread.
+#[derive(Debug)]
+pub(crate) enum DiskJob {
+    /// Write the hard state.
+    HardState(HardState),
+    /// Cut the log at the first entry and append.
+    Entries(Vec<Entry>),
+    /// Replace the log by a snapshot from the leader.
+    InstallSnapshot(Snapshot),
+    /// Write the replica's own snapshot and drop the entries that it replaces.
+    SaveSnapshot(Snapshot),
+    /// Append lines to the exported audit trail.
+    Audit(Vec<u8>),
+}
+
+/// Everything up to a job is synced.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Synced {
+    /// Number of the last job.
+    pub(crate) job: u64,
+    /// Last position and term of the log that the batch wrote, if it wrote any.
+    pub(crate) position: Option<(u64, u64)>,
+    /// Time of the sync; `None` if the batch needed none.
+    pub(crate) sync_time: Option<Duration>,
+}
+
+/// Why the disk thread stopped.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum DiskError {
+    /// The log could not be written or synced.
+    #[error("the log cannot be written: {0}")]
+    Wal(#[from] mangospindle_storage::WalError),
+    /// The exported audit trail could not be written.
+    #[error("the audit trail cannot be written: {0}")]
+    Audit(#[from] io::Error),
+}
+
+/// The thread that writes and syncs, so that a slow sync delays no heartbeat.
+///
+/// Jobs that arrive during a sync are written together and share the next one.
+#[derive(Debug)]
+pub(crate) struct Disk {
+    jobs: Sender<(u64, DiskJob)>,
+    last: u64,
+}
+
+impl Disk {
+    /// Starts the thread, which ends when this value is dropped. `done` is called after each sync, and once with an error, after which
+    /// nothing more is written.
+    pub(crate) fn start<F>(
+        wal: Wal,
+        audit: AuditFile,
+        clock: Arc<dyn Clock>,
+        done: F,
+    ) -> io::Result<Disk>
+    where
+        F: Fn(Result<Synced, DiskError>) + Send + 'static,
+    {
+        let (jobs, receiver) = mpsc::channel();
+        let mut writer = Writer { wal, audit, clock };
+        std::thread::Builder::new()
+            .name("disk".to_string())
+            .spawn(move || writer.run(&receiver, &done))?;
+        Ok(Disk { jobs, last: 0 })
+    }
+
+    /// Queues a job and returns its number.
+    pub(crate) fn submit(&mut self, job: DiskJob) -> u64 {
+        self.last += 1;
+        // Without a receiver the thread has already reported its error.
+        let _ = self.jobs.send((self.last, job));
+        self.last
+    }
+}
+
+struct Writer {
+    wal: Wal,
+    audit: AuditFile,
+    clock: Arc<dyn Clock>,
+}
+
+impl Writer {
+    fn run<F>(&mut self, jobs: &Receiver<(u64, DiskJob)>, done: &F)
+    where
+        F: Fn(Result<Synced, DiskError>),
+    {
+        while let Ok(first) = jobs.recv() {
+            let batch = std::iter::once(first).chain(jobs.try_iter().take(MAX_BATCH));
+            let result = self.write(batch);
+            let failed = result.is_err();
+            done(result);
+            if failed {
+                return;
+            }
+        }
+    }
+
+    fn write<I>(&mut self, batch: I) -> Result<Synced, DiskError>
+    where
+        I: Iterator<Item = (u64, DiskJob)>,
+    {
+        let mut synced = Synced {
+            job: 0,
+            position: None,
+            sync_time: None,
+        };
+        let mut dirty = false;
+        for (number, job) in batch {
+            synced.job = number;
+            match job {
+                DiskJob::HardState(state) => {
+                    self.wal.save_hard_state(&state)?;
+                    dirty = true;
+                }
+                DiskJob::Entries(entries) => {
+                    self.wal.append(&entries)?;
+                    synced.position = entries.last().map(|e| (e.index, e.term));
+                    dirty = true;
+                }
+                DiskJob::InstallSnapshot(snapshot) => {
+                    self.wal.install_snapshot(&snapshot)?;
+                    synced.position = Some((snapshot.index, snapshot.term));
+                    dirty = true;
+                }
+                DiskJob::SaveSnapshot(snapshot) => self.wal.save_snapshot(&snapshot)?,
+                DiskJob::Audit(lines) => self.audit.append(&lines)?,
+            }
+        }
+        if dirty {
+            let start = self.clock.now();
+            self.wal.sync()?;
+            synced.sync_time = Some(self.clock.now().saturating_sub(start));
+        }
+        Ok(synced)
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,29 @@
 //! The control replica.
+//!
+//! An actix actor drives the consensus node, a disk thread and the state machine; connections are
+//! served on the same thread from what the actor publishes.
+//!
+//! Invariants:
+//! - Nothing is acknowledged, to other replicas or to callers, before it is synced.
+//! - A failed disk ends the replica's part in the log for good; it is reported, never retried,
+//!   since data that the kernel dropped after a failed sync cannot be written again.
+//! - Each answer carries how long ago the state was known to be current, computed at the time of
+//!   the answer.
+
+mod audit_export;
+mod disk;
+mod limits;
+mod metrics;
+mod published;
+mod replica;
+mod run;
+mod service;
+mod vm_list;
+mod vm_tracker;
+mod wall_clock;
+
+pub use run::run;
+pub use vm_tracker::{
+    ABSENT_ANSWERS, ABSENT_TIME, ListedVm, MIN_SHARE_PERCENT, VmList, VmState, VmTracker,
+};
+pub use wall_clock::{SystemWallClock, WallClock};
--- /dev/null
+++ b/crates/control/src/metrics.rs
@@ -0,0 +1,142 @@
+use crate::disk::Synced;
+use crate::published::Published;
+use mangospindle_consensus::{Node, ProposalError, Role};
+use mangospindle_rpc::{LinkCounters, ProposeResult};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use std::time::Duration;
+
+/// Upper bounds of the sync time buckets, in seconds.
+const SYNC_BUCKETS: [f64; 9] = [
+    0.000_25, 0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.05, 0.25, 1.0,
+];
+
+/// Metrics of a control replica.
+#[derive(Clone)]
+pub(crate) struct Metrics {
+    pub(crate) disk_failed: IntGauge,
+    role: IntGauge,
+    has_leader: IntGauge,
+    cut_off: IntGauge,
+    term: IntGauge,
+    commit_index: IntGauge,
+    applied_index: IntGauge,
+    last_index: IntGauge,
+    version: IntGauge,
+    confirmed_age_ms: IntGauge,
+    watches: IntGauge,
+    syncs: IntCounter,
+    sync_seconds: Histogram,
+    proposals: IntCounterVec,
+    peer_sent: IntGauge,
+    peer_received: IntGauge,
+    peer_counters: LinkCounters,
+}
+
+/// Registers metrics; a name that is used twice is reported once, by the caller.
+struct Registrar<'a>(&'a Registry);
+
+impl Registrar<'_> {
+    fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+        let gauge = IntGauge::new(format!("mangospindle_control_{name}"), help)?;
+        self.0.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+}
+
+impl Metrics {
+    /// Creates and registers the metrics.
+    pub(crate) fn new(registry: &Registry, peers: LinkCounters) -> Result<Self, prometheus::Error> {
+        let r = Registrar(registry);
+        let syncs = IntCounter::new("mangospindle_control_syncs_total", "Disk syncs of the log.")?;
+        let sync_seconds = Histogram::with_opts(
+            HistogramOpts::new("mangospindle_control_sync_seconds", "Time of a disk sync.")
+                .buckets(SYNC_BUCKETS.to_vec()),
+        )?;
+        let proposals = IntCounterVec::new(
+            Opts::new(
+                "mangospindle_control_proposals_total",
+                "Proposals by outcome at this replica, forwarded ones included.",
+            ),
+            &["outcome"],
+        )?;
+        registry.register(Box::new(syncs.clone()))?;
+        registry.register(Box::new(sync_seconds.clone()))?;
+        registry.register(Box::new(proposals.clone()))?;
+        Ok(Metrics {
+            disk_failed: r.gauge(
+                "disk_failed",
+                "Whether the replica stopped on a failed disk.",
+            )?,
+            role: r.gauge(
+                "role",
+                "0 learner, 1 follower, 2 pre-candidate, 3 candidate, 4 leader.",
+            )?,
+            has_leader: r.gauge("has_leader", "Whether the replica knows a leader.")?,
+            cut_off: r.gauge("cut_off", "Whether the replica counts itself as cut off.")?,
+            term: r.gauge("term", "Current term.")?,
+            commit_index: r.gauge("commit_index", "Last committed position.")?,
+            applied_index: r.gauge("applied_index", "Last applied position.")?,
+            last_index: r.gauge("last_index", "Last position of the log.")?,
+            version: r.gauge("version", "Version of the configuration.")?,
+            confirmed_age_ms: r.gauge(
+                "confirmed_age_ms",
+                "Time since the state was known to be current; -1 for never.",
+            )?,
+            watches: r.gauge("watches", "Watches that are open.")?,
+            peer_sent: r.gauge("peer_sent_bytes", "Bytes sent to other replicas.")?,
+            peer_received: r.gauge("peer_received_bytes", "Bytes received from other replicas.")?,
+            syncs,
+            sync_seconds,
+            proposals,
+            peer_counters: peers,
+        })
+    }
+
+    pub(crate) fn count_proposal(&self, result: &ProposeResult) {
+        let outcome = match result {
+            ProposeResult::Outcome(_) => "accepted",
+            ProposeResult::NotAccepted => "not_accepted",
+            ProposeResult::Unknown => "unknown",
+        };
+        self.proposals.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn count_failure(&self, error: ProposalError) {
+        let result = match error {
+            ProposalError::NotLeader | ProposalError::Rejected => ProposeResult::NotAccepted,
+            ProposalError::Unknown => ProposeResult::Unknown,
+        };
+        self.count_proposal(&result);
+    }
+
+    pub(crate) fn observe_sync(&self, synced: &Synced) {
+        if let Some(time) = synced.sync_time {
+            self.syncs.inc();
+            self.sync_seconds.observe(time.as_secs_f64());
+        }
+    }
+
+    pub(crate) fn observe(&self, node: &Node, published: &Published, applied: u64, now: Duration) {
+        let role = match node.role() {
+            Role::Learner => 0,
+            Role::Follower => 1,
+            Role::PreCandidate => 2,
+            Role::Candidate => 3,
+            Role::Leader => 4,
+        };
+        let age = published.confirmed_age(now);
+        self.role.set(role);
+        self.has_leader.set(node.leader().is_some().into());
+        self.cut_off.set(published.cut_off(now).into());
+        self.term.set(node.term() as i64);
+        self.commit_index.set(node.commit_index() as i64);
+        self.applied_index.set(applied as i64);
+        self.last_index.set(node.last_index() as i64);
+        self.version.set(published.version.borrow().0 as i64);
+        self.confirmed_age_ms
+            .set(age.map_or(-1, |age| age.as_millis() as i64));
+        self.watches.set(published.watches.get() as i64);
+        self.peer_sent.set(self.peer_counters.sent() as i64);
+        self.peer_received.set(self.peer_counters.received() as i64);
+    }
+}
--- /dev/null
+++ b/crates/control/src/published.rs
@@ -0,0 +1,78 @@
+use mangospindle_consensus::{Member, Role};
+use mangospindle_rpc::CUT_OFF_AGE;
+use mangospindle_state::{EntryStatus, State};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// What the replica actor shows to the connections on its thread.
+pub(crate) struct Published {
+    /// The replicated state as applied here.
+    pub(crate) state: RefCell<State>,
+    /// When the state was last known to be current, on this replica's clock.
+    pub(crate) confirmed_at: Cell<Option<Duration>>,
+    /// Role of the node.
+    pub(crate) role: Cell<Role>,
+    /// The leader, if known.
+    pub(crate) leader: Cell<Option<Member>>,
+    /// Whether the replica refuses all work: it is stopping, or its disk failed.
+    pub(crate) withdrawn: Cell<bool>,
+    /// Version of the configuration and a generation that is raised to wake all watches.
+    pub(crate) version: watch::Sender<(u64, u64)>,
+    /// Watches that are held open.
+    pub(crate) watches: Cell<usize>,
+}
+
+impl Published {
+    pub(crate) fn new(state: State) -> Rc<Self> {
+        let version = state.config().version;
+        Rc::new(Published {
+            state: RefCell::new(state),
+            confirmed_at: Cell::new(None),
+            role: Cell::new(Role::Learner),
+            leader: Cell::new(None),
+            withdrawn: Cell::new(false),
+            version: watch::Sender::new((version, 0)),
+            watches: Cell::new(0),
+        })
+    }
+
+    /// How long ago the state was known to be current.
+    pub(crate) fn confirmed_age(&self, now: Duration) -> Option<Duration> {
+        self.confirmed_at.get().map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether callers should use another replica.
+    pub(crate) fn cut_off(&self, now: Duration) -> bool {
+        self.withdrawn.get() || self.confirmed_age(now).is_none_or(|age| age > CUT_OFF_AGE)
+    }
+
+    /// The process that runs on the VM of an entry, by the name of the VM.
+    pub(crate) fn incarnation(&self, vm: &str) -> Option<u64> {
+        let state = self.state.borrow();
+        let entry = state.config().topology.entry_by_name(vm)?;
+        match state.config().entry_status[entry.index()] {
+            EntryStatus::Active { incarnation } | EntryStatus::Leaving { incarnation } => {
+                Some(incarnation)
+            }
+            EntryStatus::Absent | EntryStatus::Fenced => None,
+        }
+    }
+
+    /// Tells the watches about the present version.
+    pub(crate) fn publish_version(&self) {
+        let version = self.state.borrow().config().version;
+        self.version.send_if_modified(|v| {
+            let changed = v.0 != version;
+            v.0 = version;
+            changed
+        });
+    }
+
+    /// Refuses all work from now on and answers all watches.
+    pub(crate) fn withdraw(&self) {
+        self.withdrawn.set(true);
+        self.version.send_modify(|v| v.1 += 1);
+    }
+}
--- /dev/null
+++ b/crates/control/src/replica.rs
@@ -0,0 +1,124 @@
+//! The actor that drives the consensus node, the disk thread and the state machine.
+
+mod apply;
+mod drive;
+mod duties;
+mod gate;
+mod handlers;
+pub(crate) mod messages;
+mod proposals;
+mod queries;
+mod stop;
+
+use crate::audit_export::AuditExport;
+use crate::disk::Disk;
+use crate::limits::{LEADER_DUTIES, TICK};
+use crate::metrics::Metrics;
+use crate::published::Published;
+use crate::wall_clock::WallClock;
+use actix::{Actor, AsyncContext, Context};
+use gate::Gate;
+use mangospindle_consensus::{Input, Node, ReplicaId};
+use mangospindle_model::Clock;
+use mangospindle_rpc::PeerLink;
+use mangospindle_settings::ControlSettings;
+use proposals::Proposals;
+use queries::Queries;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// What a [`Replica`] is built from.
+pub(crate) struct Parts {
+    pub(crate) settings: Arc<ControlSettings>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) wall_clock: Arc<dyn WallClock>,
+    pub(crate) node: Node,
+    pub(crate) published: Rc<Published>,
+    pub(crate) disk: Disk,
+    pub(crate) audit: AuditExport,
+    pub(crate) peers: BTreeMap<ReplicaId, PeerLink>,
+    pub(crate) metrics: Metrics,
+    /// Position and size of the snapshot on disk.
+    pub(crate) snapshot: Option<(u64, usize)>,
+}
+
+/// Whether the replica takes part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Takes part in the replicated log.
+    Running,
+    /// Finishes proposals in progress and accepts no new ones.
+    Stopping {
+        /// When the stop began.
+        since: Duration,
+        /// Whether leadership was handed over.
+        handing_over: Option<Duration>,
+    },
+    /// The disk failed: the replica sends nothing and accepts nothing until it is restarted.
+    DiskFailed,
+}
+
+/// A control replica.
+pub(crate) struct Replica {
+    parts: Parts,
+    phase: Phase,
+    /// Inputs that are handled together with the next flush.
+    inputs: Vec<Input>,
+    flush_scheduled: bool,
+    proposals: Proposals,
+    queries: Queries,
+    gate: Gate,
+    /// Last applied position and its term.
+    applied: (u64, u64),
+    /// Entries and bytes applied since the last snapshot.
+    since_snapshot: (u64, u64),
+    /// Position that a snapshot was requested for and is not saved yet.
+    last_snapshot_bytes: u64,
+    bootstrap_at: Option<Duration>,
+    expire_at: Duration,
+    request_sequence: u64,
+    exit: Option<oneshot::Sender<()>>,
+}
+
+impl Replica {
+    pub(crate) fn new(parts: Parts) -> Self {
+        let now = parts.clock.now();
+        let (index, bytes) = parts.snapshot.unwrap_or_default();
+        Replica {
+            parts,
+            phase: Phase::Running,
+            inputs: Vec::new(),
+            flush_scheduled: false,
+            proposals: Proposals::default(),
+            queries: Queries::default(),
+            gate: Gate::default(),
+            applied: (index, 0),
+            since_snapshot: (0, 0),
+            last_snapshot_bytes: bytes as u64,
+            bootstrap_at: None,
+            expire_at: now,
+            request_sequence: 0,
+            exit: None,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.parts.clock.now()
+    }
+}
+
+impl Actor for Replica {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        cx.run_interval(TICK, |replica, cx| {
+            replica.inputs.push(Input::Tick);
+            replica.flush(cx);
+            replica.continue_stop(cx);
+        });
+        cx.run_interval(LEADER_DUTIES, |replica, cx| replica.leader_duties(cx));
+    }
+}
--- /dev/null
+++ b/crates/control/src/replica/apply.rs
@@ -0,0 +1,87 @@
+//! Committed entries, snapshots and the audit trail.
+
+use super::Replica;
+use crate::disk::DiskJob;
+use crate::limits::{AUDIT_PAGE, SNAPSHOT_ENTRIES, SNAPSHOT_LOG_BYTES, SNAPSHOT_SHARE};
+use actix::Context;
+use mangospindle_consensus::{Entry, Input, Payload, Snapshot};
+use mangospindle_model::ErrorKind;
+use mangospindle_state::{Command, Outcome, State};
+use mangospindle_telemetry::event;
+
+impl Replica {
+    /// Applies a committed entry. Returns the outcome of a command.
+    pub(super) fn apply(&mut self, entry: Entry) -> Option<Outcome> {
+        self.applied = (entry.index, entry.term);
+        self.since_snapshot.0 += 1;
+        let Payload::Command(bytes) = entry.payload else {
+            return None;
+        };
+        self.since_snapshot.1 += bytes.len() as u64;
+        // A command that cannot be decoded is refused on every replica alike.
+        let outcome = match postcard::from_bytes::<Command>(&bytes) {
+            Ok(command) => (self.parts.published.state.borrow_mut()).apply(entry.index, &command),
+            Err(e) => Outcome::Refused {
+                kind: ErrorKind::BadRequest,
+                detail: format!("the command cannot be decoded: {e}"),
+                current_version: None,
+            },
+        };
+        Some(outcome)
+    }
+
+    /// Replaces the state by a snapshot from the leader. Returns whether it could be decoded.
+    pub(super) fn restore(&mut self, snapshot: &Snapshot) -> bool {
+        match State::decode(&snapshot.data) {
+            Ok(state) => {
+                self.applied = (snapshot.index, snapshot.term);
+                self.since_snapshot = (0, 0);
+                self.last_snapshot_bytes = snapshot.data.len() as u64;
+                *self.parts.published.state.borrow_mut() = state;
+                event!(
+                    Info,
+                    "snapshot_installed",
+                    "index" => snapshot.index,
+                    "bytes" => snapshot.data.len(),
+                );
+                true
+            }
+            Err(e) => {
+                self.withdraw(&format!(
+                    "a snapshot from the leader cannot be decoded: {e}"
+                ));
+                false
+            }
+        }
+    }
+
+    /// Takes a snapshot once enough entries have been applied.
+    pub(super) fn maybe_compact(&mut self, cx: &mut Context<Self>) {
+        let (entries, bytes) = self.since_snapshot;
+        let due = bytes >= SNAPSHOT_LOG_BYTES
+            || entries >= SNAPSHOT_ENTRIES && bytes >= self.last_snapshot_bytes / SNAPSHOT_SHARE;
+        if !due {
+            return;
+        }
+        let data = self.parts.published.state.borrow().encode();
+        self.since_snapshot = (0, 0);
+        self.last_snapshot_bytes = data.len() as u64;
+        event!(Info, "snapshot_taken", "index" => self.applied.0, "bytes" => data.len());
+        let index = self.applied.0;
+        self.push_input(Input::Compact { index, data }, cx);
+    }
+
+    /// Hands new audit records to the disk thread.
+    pub(super) fn export_audit(&mut self) {
+        loop {
+            let state = self.parts.published.state.borrow();
+            let page = state.audit(self.parts.audit.exported(), AUDIT_PAGE);
+            drop(state);
+            let lines = self.parts.audit.next_lines(&page);
+            if lines.is_empty() {
+                return;
+            }
+            self.parts.disk.submit(DiskJob::Audit(lines));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/replica/handlers.rs
@@ -0,0 +1,185 @@
+//! Handlers of the actor's messages.
+
+use super::messages::{Deliver, DiskDone, Flush, Propose, ProposeOwn, QueryClaim, VmsGone};
+use super::{Phase, Replica};
+use actix::{ActorFutureExt, AsyncContext, Context, Handler, WrapFuture};
+use mangospindle_consensus::{Input, Role};
+use mangospindle_rpc::ProposeResult;
+use mangospindle_state::{Actor as ChangeActor, Command, CommandKind, RequestId};
+use mangospindle_telemetry::event;
+use tokio::sync::oneshot;
+
+impl Handler<Flush> for Replica {
+    type Result = ();
+
+    fn handle(&mut self, _: Flush, cx: &mut Context<Self>) {
+        self.flush(cx);
+    }
+}
+
+impl Handler<Deliver> for Replica {
+    type Result = ();
+
+    fn handle(&mut self, message: Deliver, cx: &mut Context<Self>) {
+        for message in message.0 {
+            self.push_input(Input::Message(message), cx);
+        }
+    }
+}
+
+impl Handler<Propose> for Replica {
+    type Result = ();
+
+    fn handle(&mut self, message: Propose, cx: &mut Context<Self>) {
+        let refused =
+            self.phase != Phase::Running || !self.proposals.has_room(message.command.len());
+        match self.parts.node.role() {
+            _ if refused => self.refuse(message.reply),
+            Role::Leader => match self.stamp(&message.command) {
+                Some(command) => self.append(command, message.reply, cx),
+                None => self.refuse(message.reply),
+            },
+            _ if message.forwarded => self.refuse(message.reply),
+            _ => self.forward(message, cx),
+        }
+    }
+}
+
+impl Handler<ProposeOwn> for Replica {
+    type Result = ();
+
+    fn handle(&mut self, message: ProposeOwn, cx: &mut Context<Self>) {
+        self.propose_own(message.0, cx);
+    }
+}
+
+impl Handler<QueryClaim> for Replica {
+    type Result = ();
+
+    fn handle(&mut self, message: QueryClaim, _: &mut Context<Self>) {
+        let now = self.now();
+        self.queries.add(now, message.key, message.reply);
+    }
+}
+
+impl Handler<VmsGone> for Replica {
+    type Result = ();
+
+    fn handle(&mut self, message: VmsGone, cx: &mut Context<Self>) {
+        if self.phase != Phase::Running || self.parts.node.role() != Role::Leader {
+            return;
+        }
+        for (name, incarnation) in message.0 {
+            if self.parts.published.incarnation(&name) != Some(incarnation) {
+                continue;
+            }
+            event!(Warn, "vm_gone", "vm" => name);
+            self.propose_own(
+                CommandKind::FenceVm {
+                    name,
+                    incarnation: Some(incarnation),
+                },
+                cx,
+            );
+        }
+    }
+}
+
+impl Handler<DiskDone> for Replica {
+    type Result = ();
+
+    fn handle(&mut self, message: DiskDone, cx: &mut Context<Self>) {
+        match message.0 {
+            Ok(synced) => {
+                self.parts.metrics.observe_sync(&synced);
+                for message in self.gate.open(synced.job) {
+                    self.send(message);
+                }
+                if let Some((index, term)) = synced.position {
+                    self.push_input(Input::Persisted { index, term }, cx);
+                }
+            }
+            Err(e) => self.withdraw(&e.to_string()),
+        }
+    }
+}
+
+impl Replica {
+    fn refuse(&self, reply: oneshot::Sender<ProposeResult>) {
+        self.parts
+            .metrics
+            .count_proposal(&ProposeResult::NotAccepted);
+        // The caller may be gone.
+        let _ = reply.send(ProposeResult::NotAccepted);
+    }
+
+    fn append(
+        &mut self,
+        command: Vec<u8>,
+        reply: oneshot::Sender<ProposeResult>,
+        cx: &mut Context<Self>,
+    ) {
+        let id = self.proposals.add(reply, command.len());
+        self.push_input(Input::Propose { id, command }, cx);
+    }
+
+    /// Sets the leader's time. `None` if the command is not valid.
+    fn stamp(&self, command: &[u8]) -> Option<Vec<u8>> {
+        let mut command: Command = postcard::from_bytes(command).ok()?;
+        command.leader_time_ms = self.parts.wall_clock.unix_ms();
+        postcard::to_stdvec(&command).ok()
+    }
+
+    /// Forwards a proposal to the leader.
+    fn forward(&mut self, message: Propose, cx: &mut Context<Self>) {
+        let leader = self.parts.node.leader();
+        let Some(peer) = leader.and_then(|l| self.parts.peers.get(&l.replica)) else {
+            return self.refuse(message.reply);
+        };
+        let answer = peer.propose(&message.command);
+        cx.spawn(answer.into_actor(self).map(|result, replica, _| {
+            replica.parts.metrics.count_proposal(&result);
+            // The caller may be gone.
+            let _ = message.reply.send(result);
+        }));
+    }
+
+    /// Proposes a command of the leader itself. Its outcome shows in the state.
+    pub(super) fn propose_own(&mut self, kind: CommandKind, cx: &mut Context<Self>) {
+        let member = self.parts.node.member();
+        self.request_sequence += 1;
+        let (term, sequence) = (self.parts.node.term(), self.request_sequence);
+        let command = Command {
+            request: RequestId(format!("control-{}-{term}-{sequence}", member.storage.0)),
+            actor: ChangeActor::Process(format!("control-{}", member.replica.0)),
+            leader_time_ms: self.parts.wall_clock.unix_ms(),
+            kind,
+        };
+        match postcard::to_stdvec(&command) {
+            Ok(encoded) => {
+                let (reply, _) = oneshot::channel();
+                self.append(encoded, reply, cx);
+            }
+            Err(e) => log::error!("cannot encode a command: {e}"),
+        }
+    }
+
+    /// Stops taking part: the replica can no longer keep its promises.
+    pub(super) fn withdraw(&mut self, reason: &str) {
+        if self.phase == Phase::DiskFailed {
+            return;
+        }
+        self.phase = Phase::DiskFailed;
+        self.parts.published.withdraw();
+        self.parts.metrics.disk_failed.set(1);
+        let unknown = self.proposals.abandon();
+        self.queries.abandon();
+        event!(
+            Error,
+            "disk_failed",
+            "reason" => reason,
+            "unknown_proposals" => unknown,
+            "effect" => "this replica accepts and confirms nothing until it is restarted",
+        );
+    }
+}
