--- a/crates/consensus/src/formation.rs
+++ b/crates/consensus/src/formation.rs
@@ -9,4 +9,13 @@
     pub ballot: u64,
     /// The initial voters, sorted by replica.
     pub voters: Vec<Member>,
+    /// Whether the holder knows that all of the voters have accepted it.
+    pub complete: bool,
+}
+
+impl Formation {
+    /// Whether both are the same proposal.
+    pub(crate) fn is_same(&self, other: &Formation) -> bool {
+        self.ballot == other.ballot && self.voters == other.voters
+    }
 }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -10,14 +10,18 @@
 //! - A committed entry is in the log of every later leader.
 //! - Only members, named by replica and storage identifier, vote and count.
 
+mod confirmation;
 mod entry;
 mod formation;
 mod hard_state;
 mod input;
+mod leadership;
+mod log;
 mod member;
 mod message;
 mod node;
 mod output;
+mod progress;
 mod recovered;
 mod role;
 mod settings;
@@ -35,3 +39,8 @@
 pub use role::Role;
 pub use settings::{NodeSettings, Timing};
 pub use snapshot::Snapshot;
+
+use confirmation::Confirmation;
+use leadership::{Leadership, Transfer};
+use log::Log;
+use progress::{Mode, Progress};
--- /dev/null
+++ b/crates/consensus/src/log.rs
@@ -0,0 +1,200 @@
+use crate::{Entry, Membership, Payload, RecoverError, Recovered, Snapshot};
+use std::collections::VecDeque;
+
+/// The part of the replicated log that is held in memory, and what of it is on disk.
+#[derive(Debug)]
+pub(crate) struct Log {
+    /// Position and term before the first entry.
+    previous: (u64, u64),
+    entries: VecDeque<Entry>,
+    /// Latest snapshot. Present whenever `previous` is not the start of the log.
+    snapshot: Option<Snapshot>,
+    /// Memberships with their positions. The first one is in force before the first entry.
+    memberships: Vec<(u64, Membership)>,
+    /// Last position that is synced and still part of the log.
+    persisted: u64,
+    /// First position that has not been handed to the driver yet.
+    unwritten: u64,
+}
+
+impl Log {
+    pub(crate) fn recover(recovered: Recovered) -> Result<Self, RecoverError> {
+        let Recovered {
+            hard_state,
+            snapshot,
+            entries,
+        } = recovered;
+        let previous = snapshot.as_ref().map_or((0, 0), |s| (s.index, s.term));
+        let membership = snapshot.as_ref().map(|s| s.membership.clone());
+        let mut log = Self {
+            previous,
+            entries: VecDeque::new(),
+            snapshot,
+            memberships: vec![(previous.0, membership.unwrap_or_default())],
+            persisted: 0,
+            unwritten: 0,
+        };
+        for entry in entries.into_iter().filter(|e| e.index > previous.0) {
+            let (index, term) = (entry.index, entry.term);
+            match log.last() {
+                (last, _) if index != last + 1 => {
+                    return Err(RecoverError::Gap {
+                        previous: last,
+                        found: index,
+                    });
+                }
+                (_, last) if term < last || term > hard_state.term => {
+                    return Err(RecoverError::Term { index, term });
+                }
+                _ => log.append(entry),
+            }
+        }
+        log.persisted = log.last_index();
+        log.unwritten = log.last_index() + 1;
+        Ok(log)
+    }
+
+    /// Position and term of the last entry.
+    pub(crate) fn last(&self) -> (u64, u64) {
+        self.entries
+            .back()
+            .map_or(self.previous, |e| (e.index, e.term))
+    }
+
+    pub(crate) fn last_index(&self) -> u64 {
+        self.last().0
+    }
+
+    pub(crate) fn first_index(&self) -> u64 {
+        self.previous.0 + 1
+    }
+
+    pub(crate) fn previous(&self) -> (u64, u64) {
+        self.previous
+    }
+
+    pub(crate) fn persisted(&self) -> u64 {
+        self.persisted
+    }
+
+    pub(crate) fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
+    pub(crate) fn entry(&self, index: u64) -> Option<&Entry> {
+        let offset = index.checked_sub(self.first_index())?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Term of a position, if the position is in memory or directly before.
+    pub(crate) fn term(&self, index: u64) -> Option<u64> {
+        match index {
+            i if i == self.previous.0 => Some(self.previous.1),
+            i => self.entry(i).map(|e| e.term),
+        }
+    }
+
+    /// First position of the run of equal terms that ends at `index`, within memory.
+    pub(crate) fn start_of_term(&self, index: u64) -> u64 {
+        let term = self.term(index);
+        (self.first_index()..=index)
+            .rev()
+            .take_while(|i| self.term(*i) == term)
+            .last()
+            .unwrap_or(index)
+    }
+
+    /// Latest membership and its position.
+    pub(crate) fn membership(&self) -> (u64, &Membership) {
+        static EMPTY: Membership = Membership {
+            voters: Vec::new(),
+            learners: Vec::new(),
+        };
+        self.memberships
+            .last()
+            .map_or((0, &EMPTY), |(index, m)| (*index, m))
+    }
+
+    /// The memberships that may be in force: the last committed one and those after it.
+    pub(crate) fn possible_memberships(&self, committed: u64) -> &[(u64, Membership)] {
+        let first = self
+            .memberships
+            .iter()
+            .rposition(|(at, _)| *at <= committed);
+        &self.memberships[first.unwrap_or(0)..]
+    }
+
+    pub(crate) fn append(&mut self, entry: Entry) {
+        if let Payload::Membership(membership) = &entry.payload {
+            self.memberships.push((entry.index, membership.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries from `index` on, and the memberships in them.
+    pub(crate) fn truncate(&mut self, index: u64) {
+        while self.entries.back().is_some_and(|e| e.index >= index) {
+            self.entries.pop_back();
+        }
+        let first = self.memberships.first().cloned();
+        self.memberships.retain(|(at, _)| *at < index);
+        if self.memberships.is_empty() {
+            self.memberships.extend(first);
+        }
+        self.persisted = self.persisted.min(self.last_index());
+        self.unwritten = self.unwritten.min(self.last_index() + 1);
+    }
+
+    /// Notes that a position is synced, unless it has been replaced since.
+    pub(crate) fn mark_persisted(&mut self, index: u64, term: u64) -> bool {
+        let advanced = index > self.persisted && self.term(index) == Some(term);
+        if advanced {
+            self.persisted = index;
+        }
+        advanced
+    }
+
+    /// Entries that the driver has not been given yet.
+    pub(crate) fn take_unwritten(&mut self) -> Vec<Entry> {
+        let from = self.unwritten.max(self.first_index());
+        self.unwritten = self.last_index() + 1;
+        (from..self.unwritten)
+            .filter_map(|i| self.entry(i).cloned())
+            .collect()
+    }
+
+    /// Builds the snapshot up to `index` and drops the entries more than `keep` behind it.
+    pub(crate) fn compact(&mut self, index: u64, data: Vec<u8>, keep: u64) -> Option<Snapshot> {
+        let term = self.term(index)?;
+        if self.snapshot.as_ref().is_some_and(|s| s.index >= index) {
+            return None;
+        }
+        let in_force = self.memberships.iter().rev().find(|(at, _)| *at <= index)?;
+        let snapshot = Snapshot {
+            index,
+            term,
+            membership: in_force.1.clone(),
+            data,
+        };
+        self.snapshot = Some(snapshot.clone());
+        let cut = index.saturating_sub(keep);
+        while self.entries.front().is_some_and(|e| e.index <= cut) {
+            if let Some(entry) = self.entries.pop_front() {
+                self.previous = (entry.index, entry.term);
+            }
+        }
+        let base = self.memberships.iter().rposition(|(at, _)| *at <= cut);
+        self.memberships.drain(..base.unwrap_or(0));
+        Some(snapshot)
+    }
+
+    /// Replaces everything by a snapshot.
+    pub(crate) fn install(&mut self, snapshot: Snapshot) {
+        self.previous = (snapshot.index, snapshot.term);
+        self.entries.clear();
+        self.memberships = vec![(snapshot.index, snapshot.membership.clone())];
+        self.persisted = snapshot.index;
+        self.unwritten = snapshot.index + 1;
+        self.snapshot = Some(snapshot);
+    }
+}
