--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -1,7 +1,7 @@
 use crate::audit_export::AuditFile;
 use mangospindle_consensus::{Entry, HardState, Snapshot};
 use mangospindle_model::Clock;
-use mangospindle_storage::Wal;
+use mangospindle_storage::{StorageError, Wal};
 use std::io;
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, Sender};
@@ -30,7 +30,7 @@
 pub(crate) struct Synced {
     /// Number of the last job.
     pub(crate) job: u64,
-    /// Last position and term of the log that the batch wrote, if it wrote any.
+    /// Position and term of the last synced entry, if the batch needed a sync.
     pub(crate) position: Option<(u64, u64)>,
     /// Time of the sync; `None` if the batch needed none.
     pub(crate) sync_time: Option<Duration>,
@@ -40,8 +40,8 @@
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum DiskError {
     /// The log could not be written or synced.
-    #[error("the log cannot be written: {0}")]
-    Wal(#[from] mangospindle_storage::WalError),
+    #[error("{0}: {cause}", cause = std::error::Error::source(.0).map_or_else(String::new, ToString::to_string))]
+    Log(#[from] StorageError),
     /// The exported audit trail could not be written.
     #[error("the audit trail cannot be written: {0}")]
     Audit(#[from] io::Error),
@@ -111,38 +111,30 @@
     where
         I: Iterator<Item = (u64, DiskJob)>,
     {
-        let mut synced = Synced {
-            job: 0,
-            position: None,
-            sync_time: None,
-        };
+        let mut job = 0;
+        let mut position = None;
+        let mut sync_time = None;
         let mut dirty = false;
-        for (number, job) in batch {
-            synced.job = number;
-            match job {
-                DiskJob::HardState(state) => {
-                    self.wal.save_hard_state(&state)?;
-                    dirty = true;
-                }
-                DiskJob::Entries(entries) => {
-                    self.wal.append(&entries)?;
-                    synced.position = entries.last().map(|e| (e.index, e.term));
-                    dirty = true;
-                }
-                DiskJob::InstallSnapshot(snapshot) => {
-                    self.wal.install_snapshot(&snapshot)?;
-                    synced.position = Some((snapshot.index, snapshot.term));
-                    dirty = true;
-                }
+        for (number, content) in batch {
+            job = number;
+            dirty |= !matches!(content, DiskJob::Audit(_));
+            match content {
+                DiskJob::HardState(state) => self.wal.save_hard_state(&state)?,
+                DiskJob::Entries(entries) => self.wal.append(&entries)?,
+                DiskJob::InstallSnapshot(snapshot) => self.wal.install_snapshot(&snapshot)?,
                 DiskJob::SaveSnapshot(snapshot) => self.wal.save_snapshot(&snapshot)?,
                 DiskJob::Audit(lines) => self.audit.append(&lines)?,
             }
         }
         if dirty {
             let start = self.clock.now();
-            self.wal.sync()?;
-            synced.sync_time = Some(self.clock.now().saturating_sub(start));
+            position = self.wal.sync()?;
+            sync_time = Some(self.clock.now().saturating_sub(start));
         }
-        Ok(synced)
+        Ok(Synced {
+            job,
+            position,
+            sync_time,
+        })
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,17 +12,20 @@
 
 mod audit_export;
 mod disk;
+mod http;
 mod limits;
 mod metrics;
 mod published;
 mod replica;
 mod run;
 mod service;
+mod status;
 mod vm_list;
 mod vm_tracker;
 mod wall_clock;
 
 pub use run::run;
+pub use status::{Health, ReplicaStatus};
 pub use vm_tracker::{
     ABSENT_ANSWERS, ABSENT_TIME, ListedVm, MIN_SHARE_PERCENT, VmList, VmState, VmTracker,
 };
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -1,5 +1,6 @@
 use crate::disk::Synced;
 use crate::published::Published;
+use crate::status::Health;
 use mangospindle_consensus::{Node, ProposalError, Role};
 use mangospindle_rpc::{LinkCounters, ProposeResult};
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
@@ -17,6 +18,7 @@
     role: IntGauge,
     has_leader: IntGauge,
     cut_off: IntGauge,
+    lagging: IntGauge,
     term: IntGauge,
     commit_index: IntGauge,
     applied_index: IntGauge,
@@ -30,6 +32,9 @@
     peer_sent: IntGauge,
     peer_received: IntGauge,
     peer_counters: LinkCounters,
+    server_sent: IntGauge,
+    server_received: IntGauge,
+    server_counters: LinkCounters,
 }
 
 /// Registers metrics; a name that is used twice is reported once, by the caller.
@@ -45,7 +50,11 @@
 
 impl Metrics {
     /// Creates and registers the metrics.
-    pub(crate) fn new(registry: &Registry, peers: LinkCounters) -> Result<Self, prometheus::Error> {
+    pub(crate) fn new(
+        registry: &Registry,
+        peer_counters: LinkCounters,
+        server_counters: LinkCounters,
+    ) -> Result<Self, prometheus::Error> {
         let r = Registrar(registry);
         let syncs = IntCounter::new("mangospindle_control_syncs_total", "Disk syncs of the log.")?;
         let sync_seconds = Histogram::with_opts(
@@ -73,6 +82,10 @@
             )?,
             has_leader: r.gauge("has_leader", "Whether the replica knows a leader.")?,
             cut_off: r.gauge("cut_off", "Whether the replica counts itself as cut off.")?,
+            lagging: r.gauge(
+                "lagging",
+                "Whether the replica follows a leader and is behind it.",
+            )?,
             term: r.gauge("term", "Current term.")?,
             commit_index: r.gauge("commit_index", "Last committed position.")?,
             applied_index: r.gauge("applied_index", "Last applied position.")?,
@@ -83,12 +96,27 @@
                 "Time since the state was known to be current; -1 for never.",
             )?,
             watches: r.gauge("watches", "Watches that are open.")?,
-            peer_sent: r.gauge("peer_sent_bytes", "Bytes sent to other replicas.")?,
-            peer_received: r.gauge("peer_received_bytes", "Bytes received from other replicas.")?,
+            peer_sent: r.gauge(
+                "peer_sent_bytes",
+                "Bytes sent on connections that this replica opened to other replicas.",
+            )?,
+            peer_received: r.gauge(
+                "peer_received_bytes",
+                "Bytes received on connections that this replica opened to other replicas.",
+            )?,
+            server_sent: r.gauge(
+                "server_sent_bytes",
+                "Bytes sent on connections that replicas and entries opened to this replica.",
+            )?,
+            server_received: r.gauge(
+                "server_received_bytes",
+                "Bytes received on connections that replicas and entries opened to this replica.",
+            )?,
             syncs,
             sync_seconds,
             proposals,
-            peer_counters: peers,
+            peer_counters,
+            server_counters,
         })
     }
 
@@ -127,7 +155,10 @@
         let age = published.confirmed_age(now);
         self.role.set(role);
         self.has_leader.set(node.leader().is_some().into());
-        self.cut_off.set(published.cut_off(now).into());
+        let cut_off = published.cut_off(now);
+        self.cut_off.set(cut_off.into());
+        self.lagging
+            .set((Health::read(node, cut_off) == Health::Lagging).into());
         self.term.set(node.term() as i64);
         self.commit_index.set(node.commit_index() as i64);
         self.applied_index.set(applied as i64);
@@ -138,5 +169,8 @@
         self.watches.set(published.watches.get() as i64);
         self.peer_sent.set(self.peer_counters.sent() as i64);
         self.peer_received.set(self.peer_counters.received() as i64);
+        self.server_sent.set(self.server_counters.sent() as i64);
+        self.server_received
+            .set(self.server_counters.received() as i64);
     }
 }
--- a/crates/control/src/replica/handlers.rs
+++ b/crates/control/src/replica/handlers.rs
@@ -1,11 +1,12 @@
 //! Handlers of the actor's messages.
 
-use super::messages::{Deliver, DiskDone, Flush, Propose, ProposeOwn, QueryClaim, VmsGone};
-use super::{Phase, Replica};
-use actix::{ActorFutureExt, AsyncContext, Context, Handler, WrapFuture};
+use super::messages::{Deliver, DiskDone, Flush, GetStatus, Propose, QueryClaim, VmsGone};
+use super::{Parts, Phase, Replica};
+use crate::status::{Health, ReplicaStatus};
+use actix::{ActorFutureExt, AsyncContext, Context, Handler, MessageResult, WrapFuture};
 use mangospindle_consensus::{Input, Role};
 use mangospindle_rpc::ProposeResult;
-use mangospindle_state::{Actor as ChangeActor, Command, CommandKind, RequestId};
+use mangospindle_state::{Actor as ChangeActor, Command, CommandKind, Outcome, RequestId};
 use mangospindle_telemetry::event;
 use tokio::sync::oneshot;
 
@@ -45,11 +46,26 @@
     }
 }
 
-impl Handler<ProposeOwn> for Replica {
-    type Result = ();
+impl Handler<GetStatus> for Replica {
+    type Result = MessageResult<GetStatus>;
 
-    fn handle(&mut self, message: ProposeOwn, cx: &mut Context<Self>) {
-        self.propose_own(message.0, cx);
+    fn handle(&mut self, _: GetStatus, _: &mut Context<Self>) -> Self::Result {
+        let withdrawn = match self.phase {
+            Phase::Running => None,
+            Phase::Stopping { .. } => Some(Health::Stopping),
+            Phase::DiskFailed => Some(Health::DiskFailed),
+        };
+        let Parts {
+            node, published, ..
+        } = &self.parts;
+        let now = self.now();
+        MessageResult(ReplicaStatus::read(
+            node,
+            published,
+            self.applied.0,
+            withdrawn,
+            now,
+        ))
     }
 }
 
@@ -144,7 +160,8 @@
         }));
     }
 
-    /// Proposes a command of the leader itself. Its outcome shows in the state.
+    /// Proposes a command of the leader itself. Its outcome shows in the state; the leader's periodic
+    /// work proposes again what is still needed.
     pub(super) fn propose_own(&mut self, kind: CommandKind, cx: &mut Context<Self>) {
         let member = self.parts.node.member();
         self.request_sequence += 1;
@@ -157,8 +174,14 @@
         };
         match postcard::to_stdvec(&command) {
             Ok(encoded) => {
-                let (reply, _) = oneshot::channel();
+                let (reply, result) = oneshot::channel();
                 self.append(encoded, reply, cx);
+                cx.spawn(result.into_actor(self).map(|result, _, _| match result {
+                    Ok(ProposeResult::Outcome(Outcome::Refused { detail, .. })) => {
+                        event!(Warn, "own_proposal_refused", "detail" => detail);
+                    }
+                    other => log::debug!("result of the leader's own proposal: {other:?}"),
+                }));
             }
             Err(e) => log::error!("cannot encode a command: {e}"),
         }
--- a/crates/control/src/replica/messages.rs
+++ b/crates/control/src/replica/messages.rs
@@ -1,9 +1,10 @@
 //! Messages of the replica actor.
 
 use crate::disk::{DiskError, Synced};
+use crate::status::ReplicaStatus;
 use mangospindle_consensus::Message;
 use mangospindle_rpc::{ProposeResult, QueryResult};
-use mangospindle_state::{ClaimKey, CommandKind};
+use mangospindle_state::ClaimKey;
 use std::collections::BTreeMap;
 use tokio::sync::oneshot;
 
@@ -30,11 +31,6 @@
     pub(crate) reply: oneshot::Sender<QueryResult>,
 }
 
-/// The leader's own proposal.
-#[derive(actix::Message)]
-#[rtype(result = "()")]
-pub(crate) struct ProposeOwn(pub(crate) CommandKind);
-
 /// VMs that the platform's list has dropped, with the processes that ran on them.
 #[derive(actix::Message)]
 #[rtype(result = "()")]
@@ -54,3 +50,8 @@
 #[derive(actix::Message)]
 #[rtype(result = "()")]
 pub(crate) struct Stop(pub(crate) oneshot::Sender<()>);
+
+/// Reads the status.
+#[derive(actix::Message)]
+#[rtype(result = "ReplicaStatus")]
+pub(crate) struct GetStatus;
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -1,5 +1,6 @@
 use crate::audit_export::AuditExport;
 use crate::disk::Disk;
+use crate::http::start_http;
 use crate::limits::KEEP_ENTRIES;
 use crate::metrics::Metrics;
 use crate::published::Published;
@@ -14,7 +15,7 @@
 use mangospindle_rpc::{LinkCounters, PeerLink, serve};
 use mangospindle_settings::ControlSettings;
 use mangospindle_state::State;
-use mangospindle_storage::Wal;
+use mangospindle_storage::{Wal, WalOptions};
 use mangospindle_telemetry::event;
 use miette::{IntoDiagnostic, Result, WrapErr};
 use prometheus::Registry;
@@ -39,7 +40,7 @@
     std::fs::create_dir_all(&settings.data_dir)
         .into_diagnostic()
         .wrap_err("cannot create the data directory")?;
-    let (wal, recovered) = Wal::open(&settings.data_dir)
+    let (wal, recovered) = Wal::open(&settings.data_dir, WalOptions::default())
         .into_diagnostic()
         .wrap_err("cannot open the log")?;
     let (audit, audit_file) = AuditExport::open(&settings.data_dir)
@@ -81,6 +82,7 @@
         .wrap_err("cannot open the RPC listener")?;
     let registry = Registry::new();
     let peer_counters = LinkCounters::default();
+    let server_counters = LinkCounters::default();
     let published = Published::new(state);
     let peers: BTreeMap<ReplicaId, PeerLink> = (settings.replicas.iter())
         .filter(|r| r.replica != settings.replica)
@@ -106,17 +108,20 @@
         disk,
         audit,
         peers,
-        metrics: Metrics::new(&registry, peer_counters).into_diagnostic()?,
+        metrics: Metrics::new(&registry, peer_counters, server_counters.clone())
+            .into_diagnostic()?,
         snapshot,
     };
     cx.run(Replica::new(parts));
 
+    start_http(settings.admin_listen, registry, replica.clone())
+        .into_diagnostic()
+        .wrap_err("cannot open the administration listener")?;
     let service = Rc::new(ReplicaService {
         replica: replica.clone(),
         published: Rc::clone(&published),
         clock: Arc::clone(&clock),
     });
-    let server_counters = LinkCounters::default();
     let server = serve(listener, service, Arc::clone(&clock), server_counters);
     tokio::task::spawn_local(server);
     if let Some(address) = settings.vm_list.clone() {
--- a/crates/control/tests/replicas.rs
+++ b/crates/control/tests/replicas.rs
@@ -8,6 +8,7 @@
 mod commands;
 #[path = "support/proposers.rs"]
 mod proposers;
+#[allow(dead_code)] // Shared by test crates that use different parts of it.
 #[path = "support/replicas.rs"]
 mod replicas;
 
@@ -67,7 +68,11 @@
         case(5, Fault::Terminate),
     ];
     run(async {
-        for Case { replicas: count, fault } in cases {
+        for Case {
+            replicas: count,
+            fault,
+        } in cases
+        {
             let mut replicas = Replicas::start(count).await;
             let old = replicas.leader().await;
             let mut order = replicas.all();
@@ -151,7 +156,10 @@
             while at_old.view().config.version < version {
                 let view = at_old.view();
                 let confirmed = view.confirmed_at.is_some_and(|at| at > committed_at);
-                assert!(!confirmed, "round {round}: {version} is missing, {accepted_at:?}");
+                assert!(
+                    !confirmed,
+                    "round {round}: {version} is missing, {accepted_at:?}"
+                );
                 sleep(Duration::from_millis(1)).await;
             }
         }
@@ -202,7 +210,10 @@
             replicas.wait_metric(lost, "version", |v| v >= 11.0).await;
             // As many further losses as a full cluster survives.
             for _ in 0..count / 2 {
-                let next = replicas.all().into_iter().rfind(|r| *r != lost && replicas.runs(*r));
+                let next = replicas
+                    .all()
+                    .into_iter()
+                    .rfind(|r| *r != lost && replicas.runs(*r));
                 replicas.kill(next.unwrap());
             }
             commit_changes(&client, 11..21).await;
@@ -223,15 +234,24 @@
                 let leader = replicas.leader_or_any().await;
                 replicas.kill(leader);
             }
-            let left: Vec<u16> = replicas.all().into_iter().filter(|r| replicas.runs(*r)).collect();
+            let left: Vec<u16> = replicas
+                .all()
+                .into_iter()
+                .filter(|r| replicas.runs(*r))
+                .collect();
             sleep(CUT_OFF_AGE).await;
             for replica in &left {
-                replicas.wait_metric(*replica, "cut_off", |c| c == 1.0).await;
+                replicas
+                    .wait_metric(*replica, "cut_off", |c| c == 1.0)
+                    .await;
                 let client = replicas.client(&[*replica]);
                 let time = Duration::from_secs(3);
                 let result = client.propose(&claim(1), time).await;
                 assert_eq!(result, ProposeResult::NotAccepted);
-                assert_eq!(client.query_claim(&key(1), time).await, QueryResult::Unconfirmed);
+                assert_eq!(
+                    client.query_claim(&key(1), time).await,
+                    QueryResult::Unconfirmed
+                );
                 let age = client.view().confirmed_age(replicas.now());
                 assert!(age.is_none_or(|age| age > CUT_OFF_AGE), "{age:?}");
             }
@@ -265,12 +285,19 @@
             let sequences = || -> Vec<u64> {
                 let text = std::fs::read_to_string(&path).unwrap();
                 let record = |l: &str| serde_json::from_str::<serde_json::Value>(l).unwrap();
-                (text.lines().map(|l| record(l)["sequence"].as_u64().unwrap())).collect()
+                (text
+                    .lines()
+                    .map(|l| record(l)["sequence"].as_u64().unwrap()))
+                .collect()
             };
             while sequences().len() < 91 {
                 sleep(Duration::from_millis(20)).await;
             }
-            assert_eq!(sequences(), (1..=91).collect::<Vec<_>>(), "replica {replica}");
+            assert_eq!(
+                sequences(),
+                (1..=91).collect::<Vec<_>>(),
+                "replica {replica}"
+            );
         }
     });
 }
--- a/crates/control/tests/support/replicas.rs
+++ b/crates/control/tests/support/replicas.rs
@@ -85,7 +85,10 @@
         if let Some(address) = &self.vm_list {
             settings["vm_list"] = json!(address);
         }
-        let path = self.directory.path().join(format!("control-{replica}.json"));
+        let path = self
+            .directory
+            .path()
+            .join(format!("control-{replica}.json"));
         std::fs::write(&path, settings.to_string()).unwrap();
         let args = ["--settings".to_string(), path.display().to_string()];
         let process = Process::start("mangospindle-control", &args, &self.log_path(replica));
--- a/crates/control/tests/vm_tracker.rs
+++ b/crates/control/tests/vm_tracker.rs
@@ -1,8 +1,6 @@
 //! Decisions from the platform's VM list.
 
-use mangospindle_control::{
-    ABSENT_ANSWERS, ABSENT_TIME, ListedVm, VmList, VmState, VmTracker,
-};
+use mangospindle_control::{ABSENT_ANSWERS, ABSENT_TIME, ListedVm, VmList, VmState, VmTracker};
 use std::time::Duration;
 
 /// Guards against fencing a VM that is alive: on one missing answer, on a burst of answers, on a
@@ -39,7 +37,12 @@
         },
         Case {
             name: "absent twice, not in a row",
-            lists: &[("a b c", 1000, 1), ("a c", 2000, 9), ("a b c", 1000, 1), ("a c", 2000, 9)],
+            lists: &[
+                ("a b c", 1000, 1),
+                ("a c", 2000, 9),
+                ("a b c", 1000, 1),
+                ("a c", 2000, 9),
+            ],
             gone: &[],
         },
         Case {
