Encode the hedging of a profile without an internal tag

Cause: postcard, which carries commands, cannot decode internally tagged enums, so that a profile change would be lost on its way.

Ruled out: another codec for commands only.

Before: a bootstrap with profiles could not be decoded. After: it can; JSON of profiles changes accordingly.

--- a/crates/model/src/profile.rs
+++ b/crates/model/src/profile.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 /// When a second attempt of a slow read is started.
+///
+/// Not tagged internally: the encoding of commands and configurations between processes does not
+/// describe itself.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "mode", rename_all = "snake_case", deny_unknown_fields)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Hedging {
     /// Never.
     Off,
