--- /dev/null
+++ b/crates/storage/tests/wal/measure.rs
@@ -0,0 +1,177 @@
+use mangospindle_consensus::*;
+use mangospindle_storage::{Wal, WalOptions};
+use std::{
+    collections::VecDeque,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+const COMMAND_BYTES: usize = 200;
+const RUN: Duration = Duration::from_secs(3);
+
+struct Case {
+    nodes: usize,
+    /// Proposals that are outstanding at once.
+    outstanding: usize,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        nodes: 3,
+        outstanding: 1,
+    },
+    Case {
+        nodes: 3,
+        outstanding: 16,
+    },
+    Case {
+        nodes: 3,
+        outstanding: 256,
+    },
+    Case {
+        nodes: 5,
+        outstanding: 1,
+    },
+    Case {
+        nodes: 5,
+        outstanding: 16,
+    },
+    Case {
+        nodes: 5,
+        outstanding: 256,
+    },
+];
+
+struct Replica {
+    node: Node,
+    wal: Wal,
+    unsynced: bool,
+}
+
+struct Cluster {
+    replicas: Vec<Replica>,
+    messages: VecDeque<Message>,
+    now: Duration,
+    syncs: u64,
+    accepted: u64,
+}
+
+impl Cluster {
+    fn new(nodes: usize, path: &Path) -> Self {
+        let start = |number: usize| {
+            let directory = path.join(number.to_string());
+            let options = WalOptions::default();
+            let (wal, recovered) = Wal::open(&directory, options).expect("a new directory");
+            let settings = NodeSettings {
+                member: Member {
+                    replica: ReplicaId(number as u16),
+                    storage: wal.storage_id(),
+                },
+                replicas: (0..nodes as u16).map(ReplicaId).collect(),
+                timing: Timing::default(),
+            };
+            let node = Node::new(settings, recovered, number as u64, Duration::ZERO);
+            Replica {
+                node: node.expect("an empty log"),
+                wal,
+                unsynced: false,
+            }
+        };
+        Self {
+            replicas: (0..nodes).map(start).collect(),
+            messages: VecDeque::new(),
+            now: Duration::ZERO,
+            syncs: 0,
+            accepted: 0,
+        }
+    }
+
+    fn step(&mut self, number: usize, inputs: Vec<Input>) {
+        let replica = &mut self.replicas[number];
+        for output in replica.node.step_all(self.now, inputs) {
+            match output {
+                Output::PersistHardState(state) => {
+                    replica.wal.save_hard_state(&state).expect("written");
+                    replica.wal.sync().expect("synced");
+                    self.syncs += 1;
+                }
+                Output::PersistEntries(entries) => {
+                    replica.wal.append(&entries).expect("written");
+                    replica.unsynced = true;
+                }
+                Output::Send(message) => self.messages.push_back(message),
+                Output::Accepted { .. } => self.accepted += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// Delivers everything, and syncs once per node whenever nothing is left to deliver.
+    fn settle(&mut self) {
+        loop {
+            while let Some(message) = self.messages.pop_front() {
+                let to = usize::from(message.to.replica.0);
+                self.step(to, vec![Input::Message(message)]);
+            }
+            for number in 0..self.replicas.len() {
+                let replica = &mut self.replicas[number];
+                if std::mem::take(&mut replica.unsynced) {
+                    let (index, term) = replica.wal.sync().expect("synced").expect("an entry");
+                    self.syncs += 1;
+                    self.step(number, vec![Input::Persisted { index, term }]);
+                }
+            }
+            if self.messages.is_empty() && self.replicas.iter().all(|r| !r.unsynced) {
+                return;
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now += Duration::from_millis(1);
+        for number in 0..self.replicas.len() {
+            self.step(number, vec![Input::Tick]);
+        }
+        self.settle();
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let mut replicas = self.replicas.iter();
+        replicas.position(|r| r.node.role() == Role::Leader)
+    }
+}
+
+/// Prints proposals per second and syncs per proposal, all nodes in one thread.
+#[test]
+#[ignore = "a measurement of this machine's disk"]
+fn proposals_per_second() {
+    for case in CASES {
+        let directory = tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).expect("a directory");
+        let mut cluster = Cluster::new(case.nodes, directory.path());
+        let leader = loop {
+            cluster.tick();
+            match cluster.leader() {
+                Some(leader) => break leader,
+                None => assert!(cluster.now < Duration::from_secs(10), "no leader"),
+            }
+        };
+        let (start, syncs) = (Instant::now(), cluster.syncs);
+        while start.elapsed() < RUN {
+            let propose = |id: usize| Input::Propose {
+                id: ProposalId(id as u64),
+                command: vec![1; COMMAND_BYTES],
+            };
+            cluster.step(leader, (0..case.outstanding).map(propose).collect());
+            cluster.tick();
+        }
+        let (elapsed, syncs) = (start.elapsed().as_secs_f64(), cluster.syncs - syncs);
+        println!(
+            "{} nodes, {} outstanding: {:.0} proposals/s, {:.4} syncs per proposal, {:.2} ms per sync",
+            case.nodes,
+            case.outstanding,
+            cluster.accepted as f64 / elapsed,
+            syncs as f64 / cluster.accepted as f64,
+            elapsed * 1000.0 / syncs as f64,
+        );
+    }
+}
