--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -10,20 +10,37 @@
 //! - A committed entry is in the log of every later leader.
 //! - Only members, named by replica and storage identifier, vote and count.
 
+mod confirmation;
 mod entry;
+mod formation;
 mod hard_state;
 mod input;
+mod leadership;
+mod log;
 mod member;
 mod message;
+mod node;
 mod output;
+mod progress;
+mod recovered;
 mod role;
+mod settings;
 mod snapshot;
 
 pub use entry::{Entry, Payload};
+pub use formation::Formation;
 pub use hard_state::HardState;
 pub use input::Input;
 pub use member::{Member, Membership, ReplicaId, StorageId};
 pub use message::{Message, MessageKind};
+pub use node::Node;
 pub use output::{Output, ProposalError, ProposalId};
+pub use recovered::{RecoverError, Recovered};
 pub use role::Role;
+pub use settings::{NodeSettings, Timing};
 pub use snapshot::Snapshot;
+
+use confirmation::Confirmation;
+use leadership::{Leadership, Transfer};
+use log::Log;
+use progress::{Mode, Progress};
