Use one preferred owner for control and owners

Where they differ, an owner releases an endpoint and gets it back, endlessly.

The preferred owner is computed once per configuration instead of at each event.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -35,7 +35,7 @@
 pub use profile::{Hedging, Profile};
 pub use profile_error::ProfileError;
 pub use region::Region;
-pub use rendezvous::{preferred_owner, rendezvous_score};
+pub use rendezvous::rendezvous_score;
 pub use request_class::RequestClass;
 pub use service::Service;
 pub use topology::Topology;
--- a/crates/quota/src/admission/endpoint_state.rs
+++ b/crates/quota/src/admission/endpoint_state.rs
@@ -26,6 +26,8 @@
     pub(super) leaving_by_health: bool,
     pub(super) leaving_by_vm_list: bool,
     pub(super) leaving_by_operator: bool,
+    /// Another entry is the preferred owner.
+    pub(super) preferred_elsewhere: bool,
     /// Drained because another entry is the preferred owner.
     pub(super) rehoming: bool,
     /// The release was reported; the ownership is no longer usable.
@@ -67,6 +69,7 @@
             leaving_by_health: false,
             leaving_by_vm_list: false,
             leaving_by_operator: false,
+            preferred_elsewhere: false,
             rehoming: false,
             released: false,
             closing: false,
--- a/crates/quota/src/admission/ownership.rs
+++ b/crates/quota/src/admission/ownership.rs
@@ -1,8 +1,7 @@
 use super::{Admission, EndpointState};
 use crate::{Action, cross_region::CrossRegion};
-use mangospindle_model::preferred_owner;
 use mangospindle_routing::TargetStats;
-use mangospindle_state::{EntryStatus, Takeover};
+use mangospindle_state::{EntryStatus, Takeover, preferred_owner};
 use std::time::Duration;
 
 impl Admission {
@@ -38,6 +37,12 @@
             } else if endpoint.owned != Some(ownership.epoch) {
                 self.take_over(now, position, ownership.epoch, ownership.takeover);
             }
+            let endpoint = &mut self.endpoints[position];
+            let preferred = (endpoint.owned).and_then(|_| preferred_owner(&config, id));
+            endpoint.preferred_elsewhere = preferred.is_some_and(|p| p != self.entry);
+            if !endpoint.released && !endpoint.preferred_elsewhere {
+                endpoint.stay();
+            }
         }
     }
 
@@ -76,29 +81,23 @@
     /// Starts the release of endpoints whose preferred owner is another entry: one at a time per
     /// service, so that the service keeps its other endpoints meanwhile.
     pub(super) fn start_rehoming(&mut self) {
-        let config = self.config.clone();
-        for service in 0..self.services.len() {
-            let positions = self.services[service].endpoints.clone();
-            let ids: Vec<_> = self.endpoints.iter().map(|e| e.id).collect();
-            let foreign = |i: &usize| {
-                let id = ids[*i];
-                let preferred = preferred_owner(&config.topology, id, |e| config.is_active(e));
-                preferred.is_some_and(|p| p != self.entry)
-            };
-            for i in &positions {
-                let endpoint = &self.endpoints[*i];
-                if endpoint.rehoming && !endpoint.released && !foreign(i) {
-                    self.endpoints[*i].stay();
+        for service in &self.services {
+            let mut next: Option<usize> = None;
+            let mut one_is_going = false;
+            for position in service.endpoints.iter().copied() {
+                let endpoint = &self.endpoints[position];
+                if endpoint.owned.is_none() {
+                    continue;
+                }
+                one_is_going |= endpoint.is_going();
+                let in_flight = |i: usize| self.endpoints[i].in_flight;
+                if endpoint.preferred_elsewhere
+                    && next.is_none_or(|n| endpoint.in_flight < in_flight(n))
+                {
+                    next = Some(position);
                 }
             }
-            let owned = |i: &usize| self.endpoints[*i].owned.is_some();
-            if (positions.iter()).any(|i| owned(i) && self.endpoints[*i].is_going()) {
-                continue;
-            }
-            let next = (positions.iter().copied())
-                .filter(|i| owned(i) && foreign(i))
-                .min_by_key(|i| self.endpoints[*i].in_flight);
-            if let Some(position) = next {
+            if let (false, Some(position)) = (one_is_going, next) {
                 self.endpoints[position].rehoming = true;
             }
         }
--- a/crates/routing/tests/routing/fixture.rs
+++ b/crates/routing/tests/routing/fixture.rs
@@ -2,7 +2,7 @@
 
 use mangospindle_model::*;
 use mangospindle_state::{
-    Config, ConfigChange, EntryStatus, Ownership, Takeover, VersionedProfile,
+    Config, ConfigChange, EntryStatus, Ownership, Takeover, VersionedProfile, preferred_owner,
 };
 use std::{net::SocketAddr, time::Duration};
 
@@ -165,7 +165,7 @@
 }
 
 pub fn next_owner(config: &Config, id: EndpointId, takeover: Takeover) -> ConfigChange {
-    let owner = preferred_owner(&config.topology, id, |e| config.is_active(e));
+    let owner = preferred_owner(config, id);
     owned(id, owner, config.ownership[id.index()].epoch + 1, takeover)
 }
 
