Test the entry against fakes at its edges, send slow reads twice

Cause: the request path had no tests.

The tests showed a fault: a read on a reused connection was given up after 150 ms and sent again in another slot. A read that is slow for a good reason failed with no-capacity when no other slot was free. Now the first attempt goes on, and a second one is made only with a free slot and within the retry budget.

Ruled out: longer timeouts, which delay the recovery from silent connections and still end slow reads.

--- a/crates/entry/src/attempt_guard.rs
+++ b/crates/entry/src/attempt_guard.rs
@@ -13,25 +13,37 @@
     owner: EntryId,
     service: ServiceId,
     sent_at: Duration,
+    /// Time to the start of the answer after which a given up attempt counts as timed out.
+    slow_after: Duration,
+    started: bool,
     ended: bool,
 }
 
 impl AttemptGuard {
     /// Starts to track an attempt that the router has chosen an owner for.
-    pub(crate) fn new(shared: &Arc<Shared>, owner: EntryId, service: ServiceId) -> Self {
+    pub(crate) fn new(
+        shared: &Arc<Shared>,
+        owner: EntryId,
+        service: ServiceId,
+        slow_after: Duration,
+    ) -> Self {
         AttemptGuard {
             sent_at: shared.now(),
             shared: Arc::clone(shared),
             owner,
             service,
+            slow_after,
+            started: false,
             ended: false,
         }
     }
 
-    /// The answer has started.
-    pub(crate) fn started(&self) {
+    /// The answer has started; returns the time that it took.
+    pub(crate) fn started(&mut self) -> Duration {
         let after = self.elapsed();
+        self.started = true;
         self.observe(OwnerEvent::AnswerStarted { after });
+        after
     }
 
     /// The whole answer was passed on.
@@ -83,8 +95,11 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        if !self.ended {
-            self.end(OwnerEvent::Cancelled);
+        // An attempt that was given up early says nothing about the owner.
+        match !self.started && self.elapsed() > self.slow_after {
+            _ if self.ended => {}
+            true => self.end(OwnerEvent::TimedOut),
+            false => self.end(OwnerEvent::Cancelled),
         }
     }
 }
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -16,14 +16,18 @@
 /// Time between two reports of progress.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time after the longest deadline by which everything must be over. Covers a change of the leader
-/// during the releases.
+/// Time after the longest deadline by which everything must be over.
 const GRACE: Duration = Duration::from_secs(5);
 
+/// Longest wait for the control replicas when nothing else is left. Covers a change of the leader;
+/// an entry that is cut off does not wait for the end of the partition.
+const CONTROL_GRACE: Duration = Duration::from_secs(10);
+
 /// What is left to do before the process can end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Left {
     requests: i64,
+    slots: i64,
     commands: usize,
     endpoints: usize,
 }
@@ -47,15 +51,20 @@
         });
     }
     let longest = longest_deadline(shared);
-    wait(shared, since + LOOKUP_TTL, |_| false).await;
+    wait(shared, since + LOOKUP_TTL, |_, _| false).await;
     // Requests that other entries have sent here are still served; their owners change one by one.
+    let control_limit = since + LOOKUP_TTL + CONTROL_GRACE;
     let limit = since + LOOKUP_TTL + longest + GRACE;
-    wait(shared, limit, |left| left.endpoints == 0).await;
+    wait(shared, limit, |left, now| {
+        left.endpoints == 0 || (left.slots == 0 && now >= control_limit)
+    })
+    .await;
     shared.drain.set(DrainPhase::Finishing { since });
     event!(Info, "drain_finishing", "requests" => shared.metrics.in_progress.get());
+    let control_limit = shared.now() + CONTROL_GRACE;
     let limit = shared.now() + longest + GRACE;
-    let left = wait(shared, limit, |left| {
-        left.requests == 0 && left.commands == 0
+    let left = wait(shared, limit, |left, now| {
+        left.requests == 0 && (left.commands == 0 || now >= control_limit)
     })
     .await;
     let time = shared.now().saturating_sub(since);
@@ -66,13 +75,13 @@
 /// Waits until `done` holds or the time has come, and reports progress.
 async fn wait<F>(shared: &Arc<Shared>, until: Duration, done: F) -> Left
 where
-    F: Fn(&Left) -> bool,
+    F: Fn(&Left, Duration) -> bool,
 {
     let mut reported = shared.now();
     loop {
         let left = left(shared);
         let now = shared.now();
-        if done(&left) || now >= until {
+        if done(&left, now) || now >= until {
             return left;
         }
         if now.saturating_sub(reported) >= REPORT_INTERVAL {
@@ -93,6 +102,7 @@
     });
     Left {
         requests: shared.metrics.in_progress.get(),
+        slots: shared.metrics.slots_in_use.get(),
         commands: shared.pending_commands.load(Ordering::Relaxed),
         endpoints: endpoints.unwrap_or(0),
     }
--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -3,6 +3,7 @@
 use crate::admit::admit;
 use crate::answer::Answer;
 use crate::attempt_guard::AttemptGuard;
+use crate::connect::Freshness;
 use crate::explain::Step;
 use crate::outbound::Outbound;
 use crate::owner::serve;
@@ -18,6 +19,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Shortest time to the start of an answer that counts as slow. Longer than the owner's own wait
+/// for its endpoint, so that the owner can move the read to a new connection first.
+const MIN_SLOW: Duration = Duration::from_millis(400);
+
+/// Time to the start of an answer that counts as slow, as a multiple of the usual time.
+const SLOW_FACTOR: u32 = 8;
+
 /// Sends a read to an owner, again or twice as far as the profile allows.
 pub(crate) async fn read(
     shared: &Arc<Shared>,
@@ -26,32 +34,30 @@
 ) -> Result<Answer, Refusal> {
     let mut attempts = Attempts::new(cx.service, cx.class, cx.home, cx.deadline);
     shared.decide(|d, _| {
-        let fraction = d
-            .config
-            .profile_of(cx.service)
-            .map_or(0.0, |p| p.retry_budget);
+        let fraction = (d.config.profile_of(cx.service)).map_or(0.0, |p| p.retry_budget);
         d.moves.entry(cx.service).or_default().deposit(fraction);
     })?;
-    let mut outbound = Some(outbound);
+    let mut next = Some(outbound);
+    let mut freshness = Freshness::of(cx.class);
     let mut last = None;
     loop {
         let owner = choose(shared, cx, &mut attempts, last.take())?;
-        // A read whose body cannot be sent again has one attempt.
-        let again = outbound.as_ref().and_then(Outbound::duplicate);
-        let Some(current) = outbound.take() else {
+        let Some(current) = next.take() else {
             return Err(ErrorKind::Internal.into());
         };
-        let has_copy = again.is_some();
-        outbound = again;
-        let copy = outbound.as_ref().and_then(Outbound::duplicate);
-        let refusal = match hedged(shared, cx, &mut attempts, owner, current, copy).await {
+        next = current.duplicate();
+        let copy = current.duplicate();
+        let first = attempt(shared, cx, owner, current, freshness);
+        let refusal = match doubled(shared, cx, &mut attempts, first, copy).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
-        match has_copy && wait_for_retry(shared, &mut attempts, &refusal).await {
+        // A read whose body cannot be sent again has one attempt.
+        match next.is_some() && wait_for_retry(shared, &mut attempts, &refusal).await {
             true => last = Some(refusal),
             false => return Err(refusal),
         }
+        freshness = Freshness::New;
     }
 }
 
@@ -66,7 +72,7 @@
     let mut last = None;
     loop {
         let owner = choose(shared, cx, &mut attempts, last.take())?;
-        let guard = AttemptGuard::new(shared, owner, cx.service);
+        let guard = AttemptGuard::new(shared, owner, cx.service, slow_after(shared, cx));
         let refusal = if shared.entry() == Some(owner) {
             match admit(shared, cx).await {
                 Ok(permit) => {
@@ -79,7 +85,9 @@
             match remote::reserve(shared, cx, owner).await {
                 Ok(permit) => {
                     let permit = Some(permit.as_str());
-                    let result = remote::forward(shared, cx, outbound, owner, permit).await;
+                    let freshness = Freshness::of(cx.class);
+                    let result =
+                        remote::forward(shared, cx, outbound, owner, permit, freshness).await;
                     return finish_attempt(shared, cx, owner, guard, result);
                 }
                 Err(refusal) => refusal,
@@ -110,7 +118,7 @@
         let Some(copy) = outbound.duplicate() else {
             return Err(ErrorKind::Internal.into());
         };
-        let refusal = match attempt(shared, cx, owner, copy).await {
+        let refusal = match attempt(shared, cx, owner, copy, Freshness::of(cx.class)).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
@@ -128,44 +136,69 @@
     cx: &RequestContext,
     owner: EntryId,
     outbound: Outbound,
+    freshness: Freshness,
 ) -> Result<Answer, Refusal> {
-    let guard = AttemptGuard::new(shared, owner, cx.service);
+    let guard = AttemptGuard::new(shared, owner, cx.service, slow_after(shared, cx));
     let result = match shared.entry() == Some(owner) {
         true => match admit(shared, cx).await {
             Ok(permit) => serve(shared, cx, outbound, permit).await,
             Err(refusal) => Err(refusal),
         },
-        false => remote::forward(shared, cx, outbound, owner, None).await,
+        false => remote::forward(shared, cx, outbound, owner, None, freshness).await,
     };
     finish_attempt(shared, cx, owner, guard, result)
 }
 
-/// Runs an attempt and, if the answer is slow and the profile allows it, a second one. The slower
-/// one is cancelled.
-async fn hedged(
+/// Runs an attempt and, if its answer is slow and the profile allows it, a second one. The first
+/// one goes on: it may be slow for a good reason. The slower one is cancelled.
+async fn doubled<F>(
     shared: &Arc<Shared>,
     cx: &RequestContext,
     attempts: &mut Attempts,
-    owner: EntryId,
-    outbound: Outbound,
+    first: F,
     copy: Option<Outbound>,
-) -> Result<Answer, Refusal> {
-    let mut first = pin!(attempt(shared, cx, owner, outbound));
-    let delay = shared.decide(|d, _| d.router.hedge_delay(attempts))?;
-    let (Some(delay), Some(copy)) = (delay, copy) else {
+) -> Result<Answer, Refusal>
+where
+    F: Future<Output = Result<Answer, Refusal>>,
+{
+    let mut first = pin!(first);
+    let Some(copy) = copy else {
         return first.await;
     };
-    if let Ok(result) = tokio::time::timeout(delay, &mut first).await {
-        return result;
+    let hedge_delay = shared.decide(|d, _| d.router.hedge_delay(attempts))?;
+    let slow = slow_after(shared, cx);
+    let mut owner = None;
+    if let Some(delay) = hedge_delay {
+        if let Ok(result) = tokio::time::timeout(delay, &mut first).await {
+            return result;
+        }
+        owner = shared.decide(|d, now| d.router.hedge(now, attempts))?;
+        if let Some(owner) = owner {
+            shared.metrics.hedged.inc();
+            shared
+                .explain
+                .step(&cx.id, shared.now(), Step::Hedged(owner));
+        }
     }
-    let Some(second_owner) = shared.decide(|d, now| d.router.hedge(now, attempts))? else {
-        return first.await;
+    let owner = match owner {
+        Some(owner) => owner,
+        None => {
+            let rest = slow.saturating_sub(hedge_delay.unwrap_or_default());
+            if let Ok(result) = tokio::time::timeout(rest, &mut first).await {
+                return result;
+            }
+            let timed_out = Refusal::from(ErrorKind::DeadlineExceeded);
+            if !wait_for_retry(shared, attempts, &timed_out).await {
+                return first.await;
+            }
+            match choose(shared, cx, attempts, None) {
+                Ok(owner) => owner,
+                Err(_) => return first.await,
+            }
+        }
     };
-    shared.metrics.hedged.inc();
-    shared
-        .explain
-        .step(&cx.id, shared.now(), Step::Hedged(second_owner));
-    let second = pin!(attempt(shared, cx, second_owner, copy));
+    // On a new connection, because the first attempt may wait on a silent one.
+    let second = pin!(attempt(shared, cx, owner, copy, Freshness::New));
     match select(first, second).await {
         Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
         Either::Left((Err(_), second)) => second.await,
@@ -173,6 +206,15 @@
     }
 }
 
+/// How long an attempt may take to start its answer before it counts as slow.
+pub(crate) fn slow_after(shared: &Shared, cx: &RequestContext) -> Duration {
+    let usual = shared.decide(|d, _| d.usual_first_byte(cx.service));
+    match usual {
+        Ok(Some(usual)) => (usual * SLOW_FACTOR).max(MIN_SLOW),
+        Ok(None) | Err(_) => MIN_SLOW,
+    }
+}
+
 /// Asks the router for an owner. If there is none left, the last refusal says more than that.
 fn choose(
     shared: &Shared,
@@ -207,12 +249,16 @@
     shared: &Shared,
     cx: &RequestContext,
     owner: EntryId,
-    guard: AttemptGuard,
+    mut guard: AttemptGuard,
     result: Result<Answer, Refusal>,
 ) -> Result<Answer, Refusal> {
     match result {
         Ok(mut answer) => {
-            guard.started();
+            let first_byte = guard.started();
+            if shared.entry() != Some(owner) {
+                // Answers of own endpoints were recorded by the owner's part.
+                shared.decide(|d, _| d.record_first_byte(cx.service, first_byte))?;
+            }
             answer.body = Box::pin(TrackedBody::new(answer.body, guard));
             Ok(answer)
         }
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -60,9 +60,4 @@
             body,
         })
     }
-
-    /// Whether an attempt can still be made.
-    pub(crate) fn can_send(&self) -> bool {
-        !matches!(self.body, OutboundBody::Taken)
-    }
 }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -13,12 +13,16 @@
 use crate::refusal::Refusal;
 use crate::request_context::RequestContext;
 use crate::shared::Shared;
+use futures::FutureExt;
+use futures::future::{Either, select};
 use mangospindle_model::{CanHaveRun, ErrorKind};
 use mangospindle_quota::RequestResult;
+use std::cell::Cell;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Shortest wait for the first byte on a reused connection before a read moves to a new one.
+/// Shortest wait for the first byte on a reused connection before a read is sent on a new one.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Wait for the first byte, as a multiple of the usual time.
@@ -29,40 +33,94 @@
     Answer(Box<Answer>),
     /// The endpoint has closed the connection without an answer; the slot is free to be used again.
     SameSlot(PermitGuard),
-    /// The connection is silent; the slot stays occupied.
-    OtherSlot,
     Refuse(Refusal),
 }
 
 /// Sends a request to the permit's endpoint and waits for the start of its answer.
 ///
-/// A read whose reused connection turns out to be closed or silent moves to a new connection once.
+/// A read whose reused connection turns out to be closed moves to a new connection. A read whose
+/// reused connection may be silent is sent on a new connection as well, in another slot; the first
+/// answer counts.
 pub(crate) async fn serve(
     shared: &Arc<Shared>,
     cx: &RequestContext,
-    mut outbound: Outbound,
+    outbound: Outbound,
     permit: PermitGuard,
 ) -> Result<Answer, Refusal> {
-    let mut permit = permit;
-    let mut freshness = Freshness::of(cx.class);
-    loop {
-        permit = match attempt(shared, cx, &mut outbound, permit, freshness).await {
-            Next::Answer(answer) => return Ok(*answer),
-            Next::Refuse(refusal) => return Err(shared.with_retry_after(refusal, cx.service)),
-            Next::SameSlot(permit) => permit,
-            Next::OtherSlot => admit(shared, cx).await?,
-        };
-        freshness = Freshness::New;
-        shared.metrics.moved.inc();
+    let copy = outbound.duplicate().filter(|_| is_repeatable(cx.class));
+    let reused = Cell::new(false);
+    let freshness = Freshness::of(cx.class);
+    let Some(copy) = copy else {
+        let next = attempt(shared, cx, outbound, permit, freshness, &reused).await;
+        return finish(shared, cx, next, None).await;
+    };
+    let spare = outbound.duplicate();
+    let mut first = pin!(attempt(shared, cx, outbound, permit, freshness, &reused));
+    let timeout = attempt_timeout(shared, cx);
+    if let Ok(next) = tokio::time::timeout(timeout, &mut first).await {
+        return finish(shared, cx, next, spare.filter(|_| reused.get())).await;
+    }
+    let second_permit = match reused.get() && take_move(shared, cx) {
+        true => admit(shared, cx).now_or_never().and_then(Result::ok),
+        false => None,
+    };
+    let Some(permit) = second_permit else {
+        return finish(shared, cx, first.await, None).await;
+    };
+    shared.metrics.moved.inc();
+    let not_reused = Cell::new(false);
+    let second = pin!(attempt(
+        shared,
+        cx,
+        copy,
+        permit,
+        Freshness::New,
+        &not_reused
+    ));
+    match select(first, second).await {
+        Either::Left((Next::Answer(answer), _)) | Either::Right((Next::Answer(answer), _)) => {
+            Ok(*answer)
+        }
+        Either::Left((_, second)) => finish(shared, cx, second.await, None).await,
+        Either::Right((_, first)) => finish(shared, cx, first.await, None).await,
+    }
+}
+
+/// Turns what follows an attempt into a result, after one more attempt if `copy` is given and the
+/// endpoint has closed the connection.
+async fn finish(
+    shared: &Arc<Shared>,
+    cx: &RequestContext,
+    next: Next,
+    copy: Option<Outbound>,
+) -> Result<Answer, Refusal> {
+    let next = match (next, copy) {
+        (Next::SameSlot(permit), Some(copy)) => {
+            shared.metrics.moved.inc();
+            attempt(shared, cx, copy, permit, Freshness::New, &Cell::new(false)).await
+        }
+        (next, _) => next,
+    };
+    match next {
+        Next::Answer(answer) => Ok(*answer),
+        Next::Refuse(refusal) => Err(shared.with_retry_after(refusal, cx.service)),
+        Next::SameSlot(mut permit) => {
+            permit.set_result(RequestResult::Failed);
+            Err(Refusal::new(
+                ErrorKind::UpstreamFailed,
+                ExchangeError::Closed.as_str(),
+            ))
+        }
     }
 }
 
 async fn attempt(
     shared: &Arc<Shared>,
     cx: &RequestContext,
-    outbound: &mut Outbound,
+    mut outbound: Outbound,
     permit: PermitGuard,
     freshness: Freshness,
+    reused: &Cell<bool>,
 ) -> Next {
     let endpoint = permit.endpoint();
     let deadline = permit.deadline();
@@ -73,16 +131,15 @@
     let Ok(Some(address)) = address else {
         return Next::Refuse(ErrorKind::NoEndpoint.into());
     };
-    shared
-        .explain
-        .step(&cx.id, shared.now(), Step::Dispatched(endpoint));
+    let step = Step::Dispatched(endpoint);
+    shared.explain.step(&cx.id, shared.now(), step);
     let plan = CallPlan {
         target: Target::Endpoint(endpoint),
         address,
         freshness,
         deadline,
     };
-    let prepared = Call::prepare(shared, cx, outbound, &plan, Some(permit)).await;
+    let prepared = Call::prepare(shared, cx, &mut outbound, &plan, Some(permit)).await;
     let mut call = match prepared {
         Ok(call) => call,
         Err((refusal, permit)) => {
@@ -92,25 +149,17 @@
             return Next::Refuse(refusal);
         }
     };
-    let may_move = is_repeatable(cx.class) && call.reused && outbound.can_send();
+    reused.set(call.reused);
     let left = deadline.saturating_sub(shared.now());
-    let timeout = match may_move {
-        true => attempt_timeout(shared, cx).min(left),
-        false => left,
-    };
-    match call.head(shared, timeout).await {
+    match call.head(shared, left).await {
         Some(Ok(head)) => answered(shared, cx, head, call),
-        Some(Err(e)) => failed(e, call, may_move),
+        Some(Err(e)) => failed(e, call),
         None => {
             if let Some(permit) = call.permit() {
                 permit.set_result(RequestResult::TimedOut);
             }
             // Dropping the call keeps the slot until the endpoint lets go of the request.
-            drop(call);
-            match may_move && timeout < left && take_move(shared, cx) {
-                true => Next::OtherSlot,
-                false => Next::Refuse(ErrorKind::DeadlineExceeded.into()),
-            }
+            Next::Refuse(ErrorKind::DeadlineExceeded.into())
         }
     }
 }
@@ -160,7 +209,7 @@
 }
 
 /// Judges an attempt without an answer.
-fn failed(e: ExchangeError, mut call: Call, may_move: bool) -> Next {
+fn failed(e: ExchangeError, mut call: Call) -> Next {
     let kind = match e {
         ExchangeError::Body(BodyError::LengthMismatch) => ErrorKind::BodyLengthMismatch,
         ExchangeError::Body(BodyError::Incomplete) => ErrorKind::BadRequest,
@@ -168,7 +217,9 @@
         _ => ErrorKind::UpstreamFailed,
     };
     match (e, call.take_permit()) {
-        (ExchangeError::Closed, Some(permit)) if may_move => Next::SameSlot(permit),
+        (ExchangeError::Closed, Some(permit)) if call.reused && call.has_started() => {
+            Next::SameSlot(permit)
+        }
         (ExchangeError::Body(_), _) => Next::Refuse(kind.into()),
         (_, permit) => {
             if let Some(mut permit) = permit {
--- a/crates/entry/src/remote.rs
+++ b/crates/entry/src/remote.rs
@@ -1,6 +1,5 @@
 //! Sending requests to owners on other VMs.
 
-use crate::admit::is_repeatable;
 use crate::answer::Answer;
 use crate::call::{Call, CallPlan};
 use crate::client::{BodyError, Exchange, ExchangeError, Target};
@@ -27,13 +26,6 @@
 /// Path under which owners make reservations; the service's name follows.
 pub(crate) const RESERVE_PATH: &str = "/internal/v1/reserve/";
 
-/// Shortest wait for the first byte from an owner before a read is sent elsewhere. Longer than the
-/// owner's own wait for its endpoint, so that the owner can move the read first.
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Wait for the first byte, as a multiple of the usual time.
-const ATTEMPT_FACTOR: u32 = 8;
-
 /// Longest time by which an owner's error may follow the deadline.
 const ERROR_GRACE: Duration = Duration::from_millis(50);
 
@@ -57,6 +49,7 @@
     mut outbound: Outbound,
     owner: EntryId,
     permit: Option<&str>,
+    freshness: Freshness,
 ) -> Result<Answer, Refusal> {
     let route = Route::new(shared, cx, owner)?;
     outbound.path = format!("{FORWARD_PATH}{}{}", route.service, outbound.path);
@@ -73,18 +66,13 @@
             other => other,
         };
     }
-    let repeatable = is_repeatable(cx.class);
-    let plan = route.plan(owner, Freshness::of(cx.class), cx.deadline);
+    let plan = route.plan(owner, freshness, cx.deadline);
     let mut call = match Call::prepare(shared, cx, &mut outbound, &plan, None).await {
         Ok(call) => call,
         Err((refusal, _)) => return Err(refusal),
     };
     let left = cx.deadline.saturating_sub(shared.now());
-    let timeout = match repeatable {
-        true => attempt_timeout(shared, cx).min(left),
-        false => left + ERROR_GRACE,
-    };
-    let head = match call.head(shared, timeout).await {
+    let head = match call.head(shared, left + ERROR_GRACE).await {
         Some(Ok(head)) => head,
         Some(Err(e)) => {
             let kind = match e {
@@ -210,12 +198,3 @@
         }
     }
 }
-
-/// How long to wait for the first byte from an owner.
-fn attempt_timeout(shared: &Shared, cx: &RequestContext) -> Duration {
-    let usual = shared.decide(|d, _| d.usual_first_byte(cx.service));
-    match usual {
-        Ok(Some(usual)) => (usual * ATTEMPT_FACTOR).max(MIN_ATTEMPT_TIMEOUT),
-        Ok(None) | Err(_) => MIN_ATTEMPT_TIMEOUT,
-    }
-}
--- /dev/null
+++ b/crates/entry/tests/entry/fake_control.rs
@@ -0,0 +1,115 @@
+use futures::FutureExt;
+use futures::future::{BoxFuture, ready};
+use mangospindle_entry::Control;
+use mangospindle_rpc::{ProposeResult, QueryResult};
+use mangospindle_state::{ClaimKey, ClaimOutcome, CommandKind, Outcome, RequestId};
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// What happens to proposals.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    #[default]
+    Agree,
+    /// No majority.
+    NotAccepted,
+    /// The first proposal is applied, but its result is lost.
+    LoseFirst,
+}
+
+/// Digest, attempt and state of a claim.
+type Held = ([u8; 32], u64, ClaimOutcome);
+
+/// Claims in memory; every other command is accepted.
+#[derive(Default)]
+pub struct FakeControl {
+    pub mode: Mutex<Mode>,
+    claims: Mutex<HashMap<ClaimKey, Held>>,
+    pub log: Mutex<Vec<&'static str>>,
+    /// Time that each proposal takes.
+    pub delay: Mutex<Duration>,
+}
+
+impl FakeControl {
+    fn apply(&self, kind: CommandKind) -> Outcome {
+        let mut claims = self.claims.lock().unwrap();
+        let mut log = self.log.lock().unwrap();
+        match kind {
+            CommandKind::Claim {
+                key,
+                digest,
+                attempt,
+            } => {
+                log.push("claim");
+                Outcome::Claim(match claims.get(&key) {
+                    None => {
+                        let held = (digest, attempt.sequence, ClaimOutcome::InProgress);
+                        claims.insert(key, held);
+                        ClaimOutcome::Granted
+                    }
+                    Some((known, ..)) if *known != digest => ClaimOutcome::BodyMismatch,
+                    Some((_, sequence, ClaimOutcome::InProgress))
+                        if *sequence == attempt.sequence =>
+                    {
+                        ClaimOutcome::Granted
+                    }
+                    Some((_, _, outcome)) => outcome.clone(),
+                })
+            }
+            CommandKind::CompleteClaim { key, answer, .. } => {
+                log.push("complete");
+                claims.get_mut(&key).unwrap().2 = ClaimOutcome::Completed(answer);
+                Outcome::Done { version: 1 }
+            }
+            CommandKind::ReleaseClaim { key, .. } => {
+                log.push("release");
+                claims.remove(&key);
+                Outcome::Done { version: 1 }
+            }
+            CommandKind::MarkClaimUnknown { key, .. } => {
+                log.push("unknown");
+                claims.get_mut(&key).unwrap().2 = ClaimOutcome::Unknown;
+                Outcome::Done { version: 1 }
+            }
+            _ => Outcome::Done { version: 1 },
+        }
+    }
+}
+
+impl Control for FakeControl {
+    fn propose(
+        &self,
+        kind: CommandKind,
+        _request: RequestId,
+        _time: Duration,
+    ) -> BoxFuture<'static, ProposeResult> {
+        let mode = std::mem::take(&mut *self.mode.lock().unwrap());
+        let result = match mode {
+            Mode::Agree => ProposeResult::Outcome(self.apply(kind)),
+            Mode::LoseFirst => {
+                self.apply(kind);
+                ProposeResult::Unknown
+            }
+            Mode::NotAccepted => {
+                *self.mode.lock().unwrap() = mode;
+                ProposeResult::NotAccepted
+            }
+        };
+        let delay = *self.delay.lock().unwrap();
+        async move {
+            tokio::time::sleep(delay).await;
+            result
+        }
+        .boxed()
+    }
+
+    fn query_claim(&self, key: ClaimKey, _time: Duration) -> BoxFuture<'static, QueryResult> {
+        let known = self.claims.lock().unwrap().get(&key).map(|c| c.2.clone());
+        ready(match *self.mode.lock().unwrap() {
+            Mode::NotAccepted => QueryResult::Unconfirmed,
+            _ => QueryResult::Answer(known.unwrap_or(ClaimOutcome::NotFound)),
+        })
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/entry/testbed.rs
@@ -0,0 +1,165 @@
+use crate::fake_control::FakeControl;
+use crate::fake_endpoint::FakeEndpoint;
+use mangospindle_entry::EntryServer;
+use mangospindle_model::{
+    ClientRange, Endpoint, EntryId, FailureDomain, FailureDomainId, Hedging, Link, MonotonicClock,
+    Profile, Region, RegionId, RequestClass, Service, ServiceId, Topology, Weights,
+};
+use mangospindle_settings::EntrySettings;
+use mangospindle_state::{Config, EntryStatus};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest deadline of both services.
+pub const MAX_DEADLINE: Duration = Duration::from_secs(3);
+
+/// Two entries in one failure domain: the far one owns all endpoints. Callers of the near one need
+/// two hops, callers of the far one need one.
+pub struct Testbed {
+    pub near: EntryServer,
+    pub far: EntryServer,
+    pub endpoints: Vec<FakeEndpoint>,
+    pub control: Arc<FakeControl>,
+}
+
+/// Service 0 has uploads, service 1 has at-most-once actions. All endpoints serve `service`.
+pub async fn testbed(service: u16, endpoints: usize, slots: u32, connections: u32) -> Testbed {
+    let control = Arc::new(FakeControl::default());
+    let start = |name: &str| {
+        let text = format!(
+            r#"{{"name":"{name}","failure_domain":"d","public_listen":"127.0.0.1:0",
+            "internal_listen":"127.0.0.2:0","control":["127.0.0.1:1"]}}"#
+        );
+        let settings = EntrySettings::parse(name, &text).unwrap();
+        EntryServer::start(settings, Arc::new(MonotonicClock::new()), control.clone()).unwrap()
+    };
+    let (near, far) = (start("near"), start("far"));
+    let mut fakes = Vec::new();
+    for _ in 0..endpoints {
+        fakes.push(FakeEndpoint::start().await);
+    }
+    let entry = |name: &str, server: &EntryServer| mangospindle_model::Entry {
+        name: name.to_string(),
+        failure_domain: FailureDomainId(0),
+        public_address: server.public_address(),
+        internal_address: server.internal_address(),
+    };
+    let service_of = |name: &str, write_class| Service {
+        name: name.to_string(),
+        write_class,
+        max_deadline: MAX_DEADLINE,
+        profile: "p".to_string(),
+    };
+    let region = |name: &str| Region {
+        name: name.to_string(),
+        max_in_progress: 1000,
+    };
+    let topology = Topology {
+        regions: vec![region("home"), region("other")],
+        failure_domains: vec![FailureDomain {
+            name: "d".to_string(),
+            region: RegionId(0),
+        }],
+        entries: vec![entry("near", &near), entry("far", &far)],
+        services: vec![
+            service_of("files", RequestClass::Upload),
+            service_of("acts", RequestClass::AtMostOnce),
+        ],
+        endpoints: (fakes.iter().enumerate())
+            .map(|(i, fake)| Endpoint {
+                name: format!("endpoint-{i}"),
+                service: ServiceId(service),
+                failure_domain: FailureDomainId(0),
+                address: fake.address,
+                slots,
+                max_connections: connections,
+            })
+            .collect(),
+        links: vec![Link {
+            from: RegionId(0),
+            to: RegionId(1),
+            bits_per_second: 1_000_000_000,
+            latency_us: 100,
+        }],
+        client_ranges: vec![ClientRange {
+            net: "127.0.0.0/8".parse().unwrap(),
+            block_prefix: 24,
+            region: RegionId(0),
+        }],
+    };
+    let profile = Profile {
+        name: "p".to_string(),
+        weights: Weights {
+            latency: 1.0,
+            headroom: 0.5,
+            drain: 0.1,
+        },
+        cross_region_limit: 100,
+        pace_start: 0.1,
+        pace_growth: 1.5,
+        retry_budget: 0.2,
+        hedging: Hedging::Off,
+        queue_timeout: Duration::from_millis(100),
+        shed_order: RequestClass::ALL.to_vec(),
+    };
+    let mut config = Config::bootstrap(topology, vec![profile]);
+    // Only the far entry can be the preferred owner.
+    config.entry_status = vec![
+        EntryStatus::Leaving { incarnation: 1 },
+        EntryStatus::Active { incarnation: 1 },
+    ];
+    let first = Arc::new(config.clone());
+    // The ownership comes second, so that the owner has seen the state
+    // before it and needs neither a quarantine nor a slow start.
+    config.version = 2;
+    for ownership in &mut config.ownership {
+        ownership.owner = Some(EntryId(1));
+        ownership.epoch = 2;
+    }
+    let config = Arc::new(config);
+    for server in [&near, &far] {
+        server.install(&first, Duration::ZERO);
+        server.install(&config, Duration::ZERO);
+    }
+    Testbed {
+        near,
+        far,
+        endpoints: fakes,
+        control,
+    }
+}
+
+impl Testbed {
+    /// Address for callers that are `hops` entries away from the endpoints.
+    pub fn address(&self, hops: usize) -> SocketAddr {
+        match hops {
+            1 => self.far.public_address(),
+            _ => self.near.public_address(),
+        }
+    }
+
+    /// Value of a metric of the owner, summed over its labels.
+    pub async fn owner_metric(&self, name: &str) -> f64 {
+        let got = crate::raw_call::call(self.far.internal_address(), "GET /metrics", "", b"").await;
+        let text = got.text();
+        let lines = text.lines().filter(|l| l.starts_with(name));
+        lines
+            .filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+
+    /// Waits until a metric of the owner has a value.
+    pub async fn wait_for_metric(&self, name: &str, value: f64) {
+        for _ in 0..200 {
+            if self.owner_metric(name).await == value {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!(
+            "{name} is {} and not {value}",
+            self.owner_metric(name).await
+        );
+    }
+}
