--- a/crates/quota/tests/quota/op.rs
+++ b/crates/quota/tests/quota/op.rs
@@ -13,6 +13,11 @@
         remaining_ms: u64,
         count: usize,
     },
+    /// Keeps all owners full of long home requests of one service, or both, for a time.
+    Pressure {
+        service: u16,
+        steps: u32,
+    },
     /// Ends a running request: good, slow, failed, or given up by the caller.
     Finish {
         which: usize,
@@ -59,14 +64,15 @@
                 entry, service, class, away, remaining_ms, count
             }
         ),
-        30 => (any::<usize>(), 0..8u8).prop_map(|(which, how)| Op::Finish { which, how }),
+        4 => (0..3u16, 1..40u32).prop_map(|(service, steps)| Op::Pressure { service, steps }),
+        24 => (any::<usize>(), 0..8u8).prop_map(|(which, how)| Op::Finish { which, how }),
         1 => any::<usize>().prop_map(Op::Cancel),
         1 => any::<usize>().prop_map(Op::Kill),
         3 => any::<usize>().prop_map(Op::Restart),
         1 => any::<usize>().prop_map(Op::Fence),
         1 => (1..30u32).prop_map(Op::RegionLimit),
         1 => (0..12u32).prop_map(Op::CrossLimit),
-        1 => (0..2u16, 0..2u16).prop_map(|(service, domain)| Op::AddEndpoint { service, domain }),
+        2 => (0..2u16, 0..2u16).prop_map(|(service, domain)| Op::AddEndpoint { service, domain }),
         2 => (any::<usize>(), any::<bool>()).prop_map(|(endpoint, drain)| Op::Drain { endpoint, drain }),
         2 => (any::<usize>(), 0..6u8).prop_map(|(endpoint, what)| Op::Reading { endpoint, what }),
         2 => (any::<usize>(), any::<bool>()).prop_map(move |(entry, cut)| Op::CutOff { entry, cut: cut && with_cut_off }),
