--- a/crates/consensus/src/node/replicate.rs
+++ b/crates/consensus/src/node/replicate.rs
@@ -44,7 +44,7 @@
     /// The next entries for a follower in whose window there is room.
     fn take_batch(&mut self, now: Duration, to: Member) -> Option<Vec<Entry>> {
         let timing = self.settings.timing;
-        let (snapshot, first) = (self.log.snapshot().cloned(), self.log.first_index());
+        let first = self.log.first_index();
         let State::Leader(leadership) = &mut self.state else {
             return None;
         };
@@ -57,7 +57,8 @@
                 _ if !heard => {}
                 _ => {
                     progress.restart(Mode::Snapshot(now), progress.matched + 1);
-                    let snapshot = snapshot?;
+                    // Cloned only here: a snapshot may have many megabytes.
+                    let snapshot = self.log.snapshot()?.clone();
                     self.send(to, MessageKind::InstallSnapshot { snapshot, round });
                 }
             }
--- a/crates/consensus/tests/cluster/schedule.rs
+++ b/crates/consensus/tests/cluster/schedule.rs
@@ -1,7 +1,8 @@
 use proptest::{collection::vec, prelude::*};
+use serde::{Deserialize, Serialize};
 
 /// One disturbance or request; replicas are numbered from 0.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub enum Op {
     Propose(usize, u8),
     Kill(usize),
@@ -11,6 +12,8 @@
     LoseDisk(usize),
     Cut(usize, usize),
     Isolate(usize),
+    /// The replica receives nothing.
+    Deafen(usize),
     Heal,
     Freeze(usize, u16),
     Compact(usize),
@@ -23,7 +26,7 @@
 }
 
 /// What happens to a cluster, with the pause in milliseconds after each step.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Schedule {
     pub seed: u64,
     /// Whether the disturbances start before the cluster is formed.
@@ -41,6 +44,7 @@
         4 => which.clone().prop_map(Op::LoseDisk),
         3 => (which.clone(), which.clone()).prop_map(|(a, b)| Op::Cut(a, b)),
         3 => which.clone().prop_map(Op::Isolate),
+        2 => which.clone().prop_map(Op::Deafen),
         4 => Just(Op::Heal),
         2 => (which.clone(), 50..4000u16).prop_map(|(r, ms)| Op::Freeze(r, ms)),
         3 => which.clone().prop_map(Op::Compact),
--- a/crates/storage/tests/wal/measure.rs
+++ b/crates/storage/examples/measure.rs
@@ -1,7 +1,11 @@
+//! Prints proposals per second and syncs per proposal of a cluster in one thread, with the logs in
+//! the directory for temporary files: `cargo run --release -p mangospindle-storage --example measure`.
+
 use mangospindle_consensus::*;
 use mangospindle_storage::{Wal, WalOptions};
 use std::{
     collections::VecDeque,
+    error::Error,
     path::Path,
     time::{Duration, Instant},
 };
@@ -57,11 +61,11 @@
 }
 
 impl Cluster {
-    fn new(nodes: usize, path: &Path) -> Self {
-        let start = |number: usize| {
+    fn new(nodes: usize, path: &Path) -> Result<Self, Box<dyn Error>> {
+        let start = |number: usize| -> Result<Replica, Box<dyn Error>> {
             let directory = path.join(number.to_string());
             let options = WalOptions::default();
-            let (wal, recovered) = Wal::open(&directory, options).expect("a new directory");
+            let (wal, recovered) = Wal::open(&directory, options)?;
             let settings = NodeSettings {
                 member: Member {
                     replica: ReplicaId(number as u16),
@@ -71,32 +75,32 @@
                 timing: Timing::default(),
             };
             let node = Node::new(settings, recovered, number as u64, Duration::ZERO);
-            Replica {
-                node: node.expect("an empty log"),
+            Ok(Replica {
+                node: node?,
                 wal,
                 unsynced: false,
-            }
+            })
         };
-        Self {
-            replicas: (0..nodes).map(start).collect(),
+        Ok(Self {
+            replicas: (0..nodes).map(start).collect::<Result<_, _>>()?,
             messages: VecDeque::new(),
             now: Duration::ZERO,
             syncs: 0,
             accepted: 0,
-        }
+        })
     }
 
-    fn step(&mut self, number: usize, inputs: Vec<Input>) {
+    fn step(&mut self, number: usize, inputs: Vec<Input>) -> Result<(), Box<dyn Error>> {
         let replica = &mut self.replicas[number];
         for output in replica.node.step_all(self.now, inputs) {
             match output {
                 Output::PersistHardState(state) => {
-                    replica.wal.save_hard_state(&state).expect("written");
-                    replica.wal.sync().expect("synced");
+                    replica.wal.save_hard_state(&state)?;
+                    replica.wal.sync()?;
                     self.syncs += 1;
                 }
                 Output::PersistEntries(entries) => {
-                    replica.wal.append(&entries).expect("written");
+                    replica.wal.append(&entries)?;
                     replica.unsynced = true;
                 }
                 Output::Send(message) => self.messages.push_back(message),
@@ -104,35 +108,36 @@
                 _ => {}
             }
         }
+        Ok(())
     }
 
     /// Delivers everything, and syncs once per node whenever nothing is left to deliver.
-    fn settle(&mut self) {
+    fn settle(&mut self) -> Result<(), Box<dyn Error>> {
         loop {
             while let Some(message) = self.messages.pop_front() {
                 let to = usize::from(message.to.replica.0);
-                self.step(to, vec![Input::Message(message)]);
+                self.step(to, vec![Input::Message(message)])?;
             }
             for number in 0..self.replicas.len() {
                 let replica = &mut self.replicas[number];
                 if std::mem::take(&mut replica.unsynced) {
-                    let (index, term) = replica.wal.sync().expect("synced").expect("an entry");
+                    let (index, term) = replica.wal.sync()?.ok_or("no entry")?;
                     self.syncs += 1;
-                    self.step(number, vec![Input::Persisted { index, term }]);
+                    self.step(number, vec![Input::Persisted { index, term }])?;
                 }
             }
             if self.messages.is_empty() && self.replicas.iter().all(|r| !r.unsynced) {
-                return;
+                return Ok(());
             }
         }
     }
 
-    fn tick(&mut self) {
+    fn tick(&mut self) -> Result<(), Box<dyn Error>> {
         self.now += Duration::from_millis(1);
         for number in 0..self.replicas.len() {
-            self.step(number, vec![Input::Tick]);
+            self.step(number, vec![Input::Tick])?;
         }
-        self.settle();
+        self.settle()
     }
 
     fn leader(&self) -> Option<usize> {
@@ -141,18 +146,16 @@
     }
 }
 
-/// Prints proposals per second and syncs per proposal, all nodes in one thread.
-#[test]
-#[ignore = "a measurement of this machine's disk"]
-fn proposals_per_second() {
+fn main() -> Result<(), Box<dyn Error>> {
     for case in CASES {
-        let directory = tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).expect("a directory");
-        let mut cluster = Cluster::new(case.nodes, directory.path());
+        let directory = tempfile::tempdir()?;
+        let mut cluster = Cluster::new(case.nodes, directory.path())?;
         let leader = loop {
-            cluster.tick();
+            cluster.tick()?;
             match cluster.leader() {
                 Some(leader) => break leader,
-                None => assert!(cluster.now < Duration::from_secs(10), "no leader"),
+                None if cluster.now > Duration::from_secs(10) => return Err("no leader".into()),
+                None => {}
             }
         };
         let (start, syncs) = (Instant::now(), cluster.syncs);
@@ -161,8 +164,8 @@
                 id: ProposalId(id as u64),
                 command: vec![1; COMMAND_BYTES],
             };
-            cluster.step(leader, (0..case.outstanding).map(propose).collect());
-            cluster.tick();
+            cluster.step(leader, (0..case.outstanding).map(propose).collect())?;
+            cluster.tick()?;
         }
         let (elapsed, syncs) = (start.elapsed().as_secs_f64(), cluster.syncs - syncs);
         println!(
@@ -174,4 +177,5 @@
             elapsed * 1000.0 / syncs as f64,
         );
     }
+    Ok(())
 }
--- a/crates/storage/tests/wal/main.rs
+++ b/crates/storage/tests/wal/main.rs
@@ -1,6 +1,5 @@
-//! The write-ahead log under crashes, damage and a full disk, and its speed.
+//! The write-ahead log under crashes, damage and a full disk.
 
 mod crashes;
 mod damage;
 mod faulty_files;
-mod measure;
