Add a learner only if the other voters reach the majority without it

Ruled out: a shorter time after which a learner counts as silent (the loss can follow any answer). Schedules gained splits, immediate restarts and colliding candidates. Conclusion: adding a member never makes the cluster depend on it.

--- a/crates/consensus/src/node/reconfigure.rs
+++ b/crates/consensus/src/node/reconfigure.rs
@@ -73,7 +73,9 @@
     }
 
     /// Replaces voters whose storage is lost by learners that have caught up: the old member is
-    /// removed first, so that the new one never makes a majority harder to reach.
+    /// removed first, so that the new one never makes a majority harder to reach. A learner is
+    /// added only if the other voters reach the majority without it, because it may be lost at the
+    /// same moment.
     pub(super) fn repair_membership(&mut self, now: Duration) {
         let membership = self.membership();
         let replaced = |learner: &Member| {
@@ -87,17 +89,22 @@
             .filter(|l| self.answers(now, *l))
             .collect();
         let ready = |learner: &Member| self.has_caught_up(*learner);
+        let voters = &membership.voters;
+        let majority_after = voters.len().div_ceil(2) + 1;
+        let majority_answers =
+            voters.iter().filter(|v| self.answers(now, **v)).count() >= majority_after;
         let mut next = membership.clone();
-        match answering.iter().find(|l| replaced(l).is_none()) {
-            Some(learner) if ready(learner) => {
+        let mut unreplaced = answering.iter().filter(|l| replaced(l).is_none());
+        match unreplaced.clone().find(|l| ready(l)) {
+            Some(learner) if majority_answers => {
                 next.learners.retain(|l| l != learner);
                 next.voters.push(*learner);
             }
             // Another voter is removed only after this one has been added.
-            Some(_) => return,
-            None => {
-                let voters = answering.iter().filter(|l| ready(l)).filter_map(replaced);
-                let Some(lost) = voters.into_iter().find(|v| !self.answers(now, *v)) else {
+            _ if majority_answers && unreplaced.next().is_some() => return,
+            _ => {
+                let mut voters = answering.iter().filter(|l| ready(l)).filter_map(replaced);
+                let Some(lost) = voters.find(|v| !self.answers(now, *v)) else {
                     return;
                 };
                 next.voters.retain(|v| *v != lost);
--- a/crates/consensus/tests/cluster/disturbances.rs
+++ b/crates/consensus/tests/cluster/disturbances.rs
@@ -98,7 +98,7 @@
         .flat_map(|c| (0..10).map(move |seed| (c, seed)))
     {
         let what = format!("{} (seed {seed})", case.name);
-        let mut simulation = Simulation::new(5, seed);
+        let mut simulation = Simulation::new(5, seed, false);
         if case.formed {
             simulation.run(Duration::from_secs(4));
         }
--- a/crates/consensus/tests/cluster/losses.rs
+++ b/crates/consensus/tests/cluster/losses.rs
@@ -53,7 +53,7 @@
 #[test]
 fn losses_are_survived_up_to_the_bound() {
     for case in CASES {
-        let mut simulation = Simulation::new(case.replicas, 7);
+        let mut simulation = Simulation::new(case.replicas, 7, false);
         simulation.run(Duration::from_secs(4));
         assert!(simulation.accepts(), "{}", case.name);
         for round in case.rounds {
--- a/crates/consensus/tests/cluster/operations.rs
+++ b/crates/consensus/tests/cluster/operations.rs
@@ -6,7 +6,7 @@
 impl Simulation {
     /// Runs a whole schedule, then checks that the cluster recovers if it can.
     pub fn play(schedule: &Schedule, count: usize) -> Self {
-        let mut simulation = Self::new(count, schedule.seed);
+        let mut simulation = Self::new(count, schedule.seed, schedule.hasty);
         if !schedule.early {
             simulation.run(Duration::from_secs(4));
         }
@@ -88,6 +88,10 @@
                 self.step(replica, inputs);
             }
             Op::Kill(replica) => self.kill(replica),
+            Op::Bounce(replica) => {
+                self.kill(replica);
+                self.start(replica);
+            }
             Op::KillWithin(replica, outputs) => self.replicas[replica].outputs_left = Some(outputs),
             Op::Restart(replica) if self.node(replica).is_none() => self.start(replica),
             Op::Restart(_) => {}
@@ -98,6 +102,13 @@
                 let pairs = (0..self.replicas.len()).flat_map(|o| [(o, replica), (replica, o)]);
                 self.cuts.extend(pairs);
             }
+            Op::Split(mask) => {
+                let side = |replica: usize| mask >> replica & 1;
+                let all = 0..self.count;
+                let pairs = all.clone().flat_map(|a| all.clone().map(move |b| (a, b)));
+                self.cuts
+                    .extend(pairs.filter(|(a, b)| side(*a) != side(*b)));
+            }
             Op::Deafen(replica) => self.cuts.extend((0..self.count).map(|o| (o, replica))),
             Op::Heal => self.cuts.clear(),
             Op::Freeze(replica, ms) => {
@@ -187,7 +198,7 @@
         if let Some(snapshot) = &recovered.snapshot {
             self.oracle.check_snapshot(snapshot);
         }
-        let settings = settings(replica.member, count);
+        let settings = settings(replica.member, count, self.hasty);
         let local = local_time(replica, self.now);
         let node = Node::new(settings, recovered, seed, local);
         replica.node = Some(node.expect("a disk without damage"));
--- a/crates/consensus/tests/cluster/schedule.rs
+++ b/crates/consensus/tests/cluster/schedule.rs
@@ -6,12 +6,16 @@
 pub enum Op {
     Propose(usize, u8),
     Kill(usize),
+    /// Kills and starts at once.
+    Bounce(usize),
     /// Kills after so many outputs of the next step.
     KillWithin(usize, u8),
     Restart(usize),
     LoseDisk(usize),
     Cut(usize, usize),
     Isolate(usize),
+    /// Cuts the replicas whose bits are set off from the others.
+    Split(u8),
     /// The replica receives nothing.
     Deafen(usize),
     Heal,
@@ -31,6 +35,9 @@
     pub seed: u64,
     /// Whether the disturbances start before the cluster is formed.
     pub early: bool,
+    /// Whether election timeouts are so short and alike that candidates collide.
+    #[serde(default)]
+    pub hasty: bool,
     pub steps: Vec<(Op, u16)>,
 }
 
@@ -44,6 +51,8 @@
         4 => which.clone().prop_map(Op::LoseDisk),
         3 => (which.clone(), which.clone()).prop_map(|(a, b)| Op::Cut(a, b)),
         3 => which.clone().prop_map(Op::Isolate),
+        3 => any::<u8>().prop_map(Op::Split),
+        4 => which.clone().prop_map(Op::Bounce),
         2 => which.clone().prop_map(Op::Deafen),
         4 => Just(Op::Heal),
         2 => (which.clone(), 50..4000u16).prop_map(|(r, ms)| Op::Freeze(r, ms)),
@@ -54,6 +63,13 @@
         1 => (0..30u8).prop_map(Op::Loss),
     ];
     let pause = prop_oneof![3 => 0..100u16, 3 => 100..1500u16, 1 => 1500..4000u16];
-    (any::<u64>(), any::<bool>(), vec((op, pause), 10..80))
-        .prop_map(|(seed, early, steps)| Schedule { seed, early, steps })
+    let steps = vec((op, pause), 10..80);
+    (any::<u64>(), any::<bool>(), any::<bool>(), steps).prop_map(|(seed, early, hasty, steps)| {
+        Schedule {
+            seed,
+            early,
+            hasty,
+            steps,
+        }
+    })
 }
--- a/crates/consensus/tests/cluster/simulation.rs
+++ b/crates/consensus/tests/cluster/simulation.rs
@@ -38,6 +38,7 @@
     pub steps: u64,
     pub oracle: Oracle,
     pub count: usize,
+    pub hasty: bool,
     pub replicas: Vec<Replica>,
     pub lost: BTreeMap<Member, Disk>,
     pub lost_while_forming: usize,
@@ -51,7 +52,8 @@
     pub sent_bytes: Vec<usize>,
 }
 
-pub fn settings(member: Member, count: usize) -> NodeSettings {
+pub fn settings(member: Member, count: usize, hasty: bool) -> NodeSettings {
+    let (shortest, longest) = if hasty { (140, 160) } else { (500, 1000) };
     NodeSettings {
         member,
         replicas: (0..count as u16).map(ReplicaId).collect(),
@@ -61,18 +63,21 @@
             max_append_bytes: 200,
             keep_entries: 3,
             snapshot_retry: Duration::from_millis(500),
-            ..Timing::default()
+            heartbeat: Duration::from_millis(shortest / 5),
+            election_min: Duration::from_millis(shortest),
+            election_max: Duration::from_millis(longest),
         },
     }
 }
 
 impl Simulation {
-    pub fn new(count: usize, seed: u64) -> Self {
+    pub fn new(count: usize, seed: u64, hasty: bool) -> Self {
         let mut simulation = Self {
             now: Duration::from_secs(10),
             steps: 0,
             oracle: Oracle::default(),
             count,
+            hasty,
             replicas: Vec::new(),
             lost: BTreeMap::new(),
             lost_while_forming: 0,
