Follow the agreed state, agree on the preferred owner

Cause: with control replicas, nine entries released the same endpoints to each other without end: 1,399 configuration versions 8 s after the start. The owner used the preferred owner of crates/model, the replicated state its own one of crates/state, and the two hash differently.

The owner now asks the replicated state's function, and the static deployment option is gone, because the watch works.

Ruled out: the function of crates/model in the replicated state. It hashes positions in the topology; the one of crates/state hashes names, which all builds share.

The version skips in one step when several changes arrive together; quota documents that it wants each.

--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -10,8 +10,6 @@
     Run {
         /// The settings file.
         settings: PathBuf,
-        /// Deployment file to use in place of the control replicas.
-        static_deployment: Option<PathBuf>,
     },
     /// Checks a settings file.
     Check {
@@ -36,15 +34,7 @@
     };
     let run = {
         let settings = settings();
-        let static_deployment = long("static-deployment")
-            .help("Take the configuration from this file; no control replica is used")
-            .argument::<PathBuf>("FILE")
-            .optional()
-            .hide();
-        construct!(Command::Run {
-            settings,
-            static_deployment
-        })
+        construct!(Command::Run { settings })
     };
     construct!([check, run])
         .to_options()
@@ -59,10 +49,7 @@
 /// Runs a command.
 pub async fn run_command(command: Command) -> Result<()> {
     match command {
-        Command::Run {
-            settings,
-            static_deployment,
-        } => crate::run(EntrySettings::load(&settings)?, static_deployment).await,
+        Command::Run { settings } => crate::run(EntrySettings::load(&settings)?).await,
         Command::Check { settings } => {
             let checked = EntrySettings::load(&settings)?;
             println!(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -56,7 +56,6 @@
 mod run;
 mod server;
 mod shared;
-mod static_config;
 mod status_api;
 mod tracked_body;
 mod vm_list;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -4,24 +4,16 @@
 use crate::control_handle::{ControlHandle, serve_calls};
 use crate::follow;
 use crate::server::EntryServer;
-use crate::static_config::static_config;
 use mangospindle_model::{Clock, MonotonicClock};
 use mangospindle_rpc::{ControlClient, ControlClientSettings};
-use mangospindle_settings::{Deployment, EntrySettings};
+use mangospindle_settings::EntrySettings;
 use mangospindle_telemetry::{event, init_logging};
 use miette::{IntoDiagnostic, Result, miette};
-use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
-/// Time between two confirmations of a configuration that never changes.
-const STATIC_CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Runs an entry process until SIGTERM or an interrupt, and stops it gracefully.
-///
-/// With `static_deployment`, the configuration comes from that file and no control replica is used.
-pub async fn run(settings: EntrySettings, static_deployment: Option<PathBuf>) -> Result<()> {
+pub async fn run(settings: EntrySettings) -> Result<()> {
     init_logging(&settings.name, &settings.log_level)?;
     let clock: Arc<dyn Clock> = Arc::new(MonotonicClock::new());
     let replicas = settings.control.clone();
@@ -32,33 +24,16 @@
     let server = EntryServer::start(settings, Arc::clone(&clock), control)?;
     event!(Info, "entry_started", "public" => server.public_address(),
         "internal" => server.internal_address(), "version" => env!("CARGO_PKG_VERSION"));
-    match static_deployment {
-        Some(file) => {
-            drop(calls);
-            let config = Arc::new(static_config(Deployment::load(&file)?));
-            let shared = Arc::clone(server.shared());
-            actix_rt::spawn(async move {
-                loop {
-                    shared.install(&config);
-                    shared.confirm(config.version, Duration::ZERO);
-                    tokio::time::sleep(STATIC_CONFIRM_INTERVAL).await;
-                }
-            });
-        }
-        None => {
-            let client = ControlClient::start(ControlClientSettings {
-                replicas,
-                clock,
-                report: None,
-            });
-            let client = client.ok_or_else(|| miette!("no control replica is listed"))?;
-            let shared = server.shared();
-            actix_rt::spawn(follow::watch(Arc::clone(shared), client.clone()));
-            actix_rt::spawn(follow::join(Arc::clone(shared)));
-            actix_rt::spawn(follow::ask_peers(Arc::clone(shared)));
-            actix_rt::spawn(serve_calls(client, calls));
-        }
-    }
+    let client = ControlClient::start(ControlClientSettings {
+        replicas,
+        clock,
+        report: None,
+    });
+    let client = client.ok_or_else(|| miette!("no control replica is listed"))?;
+    let shared = server.shared();
+    actix_rt::spawn(follow::watch(Arc::clone(shared), client.clone()));
+    actix_rt::spawn(follow::join(Arc::clone(shared)));
+    actix_rt::spawn(serve_calls(client, calls));
     futures::future::select(Box::pin(terminate.recv()), Box::pin(interrupt.recv())).await;
     server.drain().await;
     event!(Info, "entry_stopped");
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -76,6 +76,7 @@
         let handle = server.handle();
         actix_rt::spawn(server);
         actix_rt::spawn(follow::release(Arc::clone(&shared), releases));
+        actix_rt::spawn(follow::ask_peers(Arc::clone(&shared)));
         Ok(EntryServer {
             shared,
             handle,
--- a/crates/entry/tests/entry/fake_endpoint.rs
+++ b/crates/entry/tests/entry/fake_endpoint.rs
@@ -45,6 +45,8 @@
     pub open: Arc<AtomicUsize>,
     /// Connections with a lower number neither answer nor close.
     pub silent_below: Arc<AtomicUsize>,
+    /// State in the health answer.
+    pub health: Arc<Mutex<&'static str>>,
     script: Arc<Mutex<Script>>,
 }
 
@@ -64,18 +66,20 @@
             seen: Arc::default(),
             open: Arc::default(),
             silent_below: Arc::default(),
+            health: Arc::new(Mutex::new("ok")),
             script: Arc::new(Mutex::new(Box::new(|_| ok("done")))),
         };
         let (seen, open) = (endpoint.seen.clone(), endpoint.open.clone());
         let (script, silent) = (endpoint.script.clone(), endpoint.silent_below.clone());
+        let health = endpoint.health.clone();
         actix_rt::spawn(async move {
             for connection in 0.. {
                 let (stream, _) = listener.accept().await.unwrap();
                 open.fetch_add(1, Ordering::SeqCst);
                 let (seen, open, script) = (seen.clone(), open.clone(), script.clone());
-                let silent = silent.clone();
+                let (silent, health) = (silent.clone(), health.clone());
                 actix_rt::spawn(async move {
-                    serve(stream, connection, &seen, &script, &silent).await;
+                    serve(stream, connection, &seen, &script, &silent, &health).await;
                     open.fetch_sub(1, Ordering::SeqCst);
                 });
             }
@@ -101,6 +105,7 @@
     seen: &Mutex<Vec<Seen>>,
     script: &Mutex<Script>,
     silent: &AtomicUsize,
+    health: &Mutex<&'static str>,
 ) {
     let mut buf = Vec::new();
     loop {
@@ -120,12 +125,13 @@
         let head = String::from_utf8_lossy(&buf).into_owned();
         buf = Vec::new();
         if head.starts_with("GET /health") {
-            let health = r#"{"state":"ok","in_progress":0,"load":0.1}"#;
+            let state = *health.lock().unwrap();
+            let health = format!(r#"{{"state":"{state}","in_progress":0,"load":0.1}}"#);
             let head = format!(
                 "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n",
                 health.len()
             );
-            if stream.write_all((head + health).as_bytes()).await.is_err() {
+            if stream.write_all((head + &health).as_bytes()).await.is_err() {
                 return;
             }
             buf = body;
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -13,6 +13,7 @@
 mod actions;
 mod answers;
 mod cancellation;
+mod configuration;
 mod limits;
 mod requests;
 mod reservation;
--- a/crates/entry/tests/entry/testbed.rs
+++ b/crates/entry/tests/entry/testbed.rs
@@ -21,6 +21,7 @@
     pub far: EntryServer,
     pub endpoints: Vec<FakeEndpoint>,
     pub control: Arc<FakeControl>,
+    pub config: Arc<Config>,
 }
 
 /// Service 0 has uploads, service 1 has at-most-once actions. All endpoints serve `service`.
@@ -127,6 +128,7 @@
         far,
         endpoints: fakes,
         control,
+        config,
     }
 }
 
--- a/crates/quota/src/admission/ownership.rs
+++ b/crates/quota/src/admission/ownership.rs
@@ -1,8 +1,7 @@
 use super::{Admission, EndpointState};
 use crate::{Action, cross_region::CrossRegion};
-use mangospindle_model::preferred_owner;
 use mangospindle_routing::TargetStats;
-use mangospindle_state::{EntryStatus, Takeover};
+use mangospindle_state::{EntryStatus, Takeover, preferred_owner};
 use std::time::Duration;
 
 impl Admission {
@@ -82,7 +81,7 @@
             let ids: Vec<_> = self.endpoints.iter().map(|e| e.id).collect();
             let foreign = |i: &usize| {
                 let id = ids[*i];
-                let preferred = preferred_owner(&config.topology, id, |e| config.is_active(e));
+                let preferred = preferred_owner(&config, id);
                 preferred.is_some_and(|p| p != self.entry)
             };
             for i in &positions {
--- a/crates/quota/tests/quota/fixture.rs
+++ b/crates/quota/tests/quota/fixture.rs
@@ -1,6 +1,6 @@
 use mangospindle_model::*;
 use mangospindle_state::{
-    Config, ConfigChange, EntryStatus, Ownership, Takeover, VersionedProfile,
+    Config, ConfigChange, EntryStatus, Ownership, Takeover, VersionedProfile, preferred_owner,
 };
 use std::time::Duration;
 
@@ -97,7 +97,7 @@
 }
 
 pub fn next_owner(config: &Config, id: EndpointId, takeover: Takeover) -> ConfigChange {
-    let owner = preferred_owner(&config.topology, id, |e| config.is_active(e));
+    let owner = preferred_owner(config, id);
     let epoch = config.ownership[id.index()].epoch + 1;
     ConfigChange::SetOwnership(
         id,
