Report an entry as ready only after its join is agreed

Cause: /readyz said ready as soon as a configuration was known. An action sent right then was refused with "the claimant has not joined" (seen in keys_are_checked_and_answers_replayed).

Ruled out: waiting in the claim, because callers should not be sent to such an entry at all.

--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -9,7 +9,7 @@
 use mangospindle_model::{Clock, EntryId, ErrorKind, ServiceId};
 use mangospindle_quota::{Action, Permit, RequestResult};
 use mangospindle_settings::EntrySettings;
-use mangospindle_state::Config;
+use mangospindle_state::{Config, EntryStatus};
 use mangospindle_telemetry::event;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
@@ -122,6 +122,14 @@
         self.lock().as_ref().map(|d| d.entry)
     }
 
+    /// Whether the agreed state names this process as the entry's present one.
+    pub(crate) fn has_joined(&self) -> bool {
+        self.lock().as_ref().is_some_and(|d| {
+            let status = d.config.entry_status.get(d.entry.index());
+            matches!(status, Some(EntryStatus::Active { incarnation }) if *incarnation == self.incarnation)
+        })
+    }
+
     /// Applies a configuration; lower versions are ignored.
     pub(crate) fn install(&self, config: &Arc<Config>) {
         let now = self.now();
--- a/crates/entry/src/status_api.rs
+++ b/crates/entry/src/status_api.rs
@@ -28,8 +28,10 @@
 /// Whether new callers should be sent here.
 pub(crate) async fn readyz(shared: web::Data<Arc<Shared>>) -> HttpResponse {
     let reason = match (shared.drain.phase(), shared.entry()) {
-        (DrainPhase::Serving, Some(_)) => return HttpResponse::Ok().body("ready"),
         (DrainPhase::Serving, None) => "no configuration",
+        // Before its join is agreed, the entry owns no endpoints and its claims are refused.
+        (DrainPhase::Serving, Some(_)) if !shared.has_joined() => "not joined",
+        (DrainPhase::Serving, Some(_)) => return HttpResponse::Ok().body("ready"),
         _ => "stopping",
     };
     HttpResponse::ServiceUnavailable().body(reason)
