Retry reads that an endpoint answers with an error, wait for moving endpoints

Ruled out: ejecting the last endpoint at the owner, because it is the owner's only choice; the ingress entry has others. Ruled out: more redirects without waiting, because they are over before the move is agreed.

After: answers with a server error count as failures of the owner and are retried within the budget; a refusal without endpoints may wait four times for at most 150 ms.

--- a/crates/entry/src/attempt_guard.rs
+++ b/crates/entry/src/attempt_guard.rs
@@ -46,6 +46,12 @@
         after
     }
 
+    /// The endpoint answered with an error of its own. Its latency does not count, so that an
+    /// endpoint that fails fast does not attract traffic.
+    pub(crate) fn server_error(mut self) {
+        self.end(OwnerEvent::Failed);
+    }
+
     /// The whole answer was passed on.
     pub(crate) fn complete(mut self) {
         let after = self.elapsed();
--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -48,14 +48,18 @@
         next = current.duplicate();
         let copy = current.duplicate();
         let first = attempt(shared, cx, owner, current, freshness);
-        let refusal = match doubled(shared, cx, &mut attempts, first, copy).await {
+        let (refusal, answer) = match doubled(shared, cx, &mut attempts, first, copy).await {
+            Ok(answer) if answer.status.is_server_error() => {
+                (Refusal::from(ErrorKind::UpstreamFailed), Some(answer))
+            }
             Ok(answer) => return Ok(answer),
-            Err(refusal) => refusal,
+            Err(refusal) => (refusal, None),
         };
         // A read whose body cannot be sent again has one attempt.
         match next.is_some() && wait_for_retry(shared, &mut attempts, &refusal).await {
             true => last = Some(refusal),
-            false => return Err(refusal),
+            // The endpoint's own error says more than ours.
+            false => return answer.ok_or(refusal),
         }
         freshness = Freshness::New;
     }
@@ -253,6 +257,10 @@
     result: Result<Answer, Refusal>,
 ) -> Result<Answer, Refusal> {
     match result {
+        Ok(answer) if answer.status.is_server_error() => {
+            guard.server_error();
+            Ok(answer)
+        }
         Ok(mut answer) => {
             let first_byte = guard.started();
             if shared.entry() != Some(owner) {
--- a/crates/routing/src/attempts.rs
+++ b/crates/routing/src/attempts.rs
@@ -19,6 +19,8 @@
     pub hedged: bool,
     /// Attempts after the first that were allowed because the previous owner refused the request.
     pub redirects: u8,
+    /// Times that the request waited for endpoints on the way from one owner to another.
+    pub waits: u8,
     /// Attempts after the first that were paid for from the retry budget, without the hedge.
     pub retries: u8,
 }
@@ -39,6 +41,7 @@
             tried: Vec::new(),
             hedged: false,
             redirects: 0,
+            waits: 0,
             retries: 0,
         }
     }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -88,7 +88,7 @@
             None if attempts.tried.is_empty() => return Err(ErrorKind::NoEndpoint),
             None => return Err(ErrorKind::NoCapacity),
         };
-        if attempts.tried.is_empty() {
+        if attempts.tried.is_empty() && attempts.waits == 0 {
             let profile = self.config.profile_of(attempts.service);
             let fraction = profile.map_or(0.0, |p| p.retry_budget);
             self.services[attempts.service.index()]
--- a/crates/routing/src/router/retry.rs
+++ b/crates/routing/src/router/retry.rs
@@ -7,6 +7,11 @@
 /// Owners tried after a refusal, without use of the retry budget: a refusal costs the owner almost
 /// nothing, and another owner may have free slots.
 const MAX_REDIRECTS: u8 = 2;
+/// Waits for endpoints that are on the way from one owner to another. A planned change of owner
+/// takes two round trips to the control replicas, during which nobody may dispatch.
+const MAX_WAITS: u8 = 4;
+/// Longest jittered delay of such a wait.
+const WAIT_JITTER: Duration = Duration::from_millis(150);
 /// Retries of a read after failures.
 const MAX_RETRIES: u8 = 2;
 /// Longest jittered delay before a redirect.
@@ -37,11 +42,19 @@
         };
         let untried = (service.owners.iter()).any(|o| !attempts.tried.contains(&o.entry));
         let longest = if refused {
-            if attempts.redirects >= MAX_REDIRECTS || !untried {
-                return RetryDecision::GiveUp;
+            let in_transition = matches!(kind, ErrorKind::NoEndpoint | ErrorKind::Draining);
+            match (attempts.redirects < MAX_REDIRECTS && untried, in_transition) {
+                (true, _) => {
+                    attempts.redirects += 1;
+                    REDIRECT_JITTER
+                }
+                (false, true) if attempts.waits < MAX_WAITS => {
+                    attempts.waits += 1;
+                    attempts.tried.clear();
+                    WAIT_JITTER
+                }
+                (false, _) => return RetryDecision::GiveUp,
             }
-            attempts.redirects += 1;
-            REDIRECT_JITTER
         } else {
             if attempts.retries >= MAX_RETRIES || !service.budget.withdraw() {
                 return RetryDecision::GiveUp;
