Keep an endpoint in quarantine until the quarantine is over

Cause: an owner that took over an endpoint of a lost owner, and was not the preferred owner, released it at once because it had no request in progress. The next owner got it as a clean takeover and dispatched while requests of the lost owner still ran.

An endpoint now starts on the way to its preferred owner only after the waits that follow a takeover or a restart. A table case repeats the fault.

Ruled out: a quarantine at the next owner, because a release would then always cost it.

--- a/crates/quota/src/admission.rs
+++ b/crates/quota/src/admission.rs
@@ -177,6 +177,10 @@
     }
 
     /// Frees the slot of a dispatched request and starts queued ones.
+    ///
+    /// The slot is free at once. Call this only when the endpoint no longer works on the request:
+    /// after a complete answer, when it has confirmed a cancellation, or at [`Permit::deadline`].
+    /// An attempt that was given up earlier may still occupy the endpoint.
     pub fn finish(&mut self, now: Duration, permit: Permit, result: RequestResult) -> Vec<Action> {
         let now = self.advance(now);
         let Some(record) = self.permits.remove(&permit.id) else {
@@ -291,7 +295,7 @@
     fn after_event(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         if self.confirmed_once {
-            self.start_rehoming();
+            self.start_rehoming(now);
             self.pump(now, &mut actions);
             self.report_drains(now, &mut actions);
         }
--- a/crates/quota/src/admission/endpoint_state.rs
+++ b/crates/quota/src/admission/endpoint_state.rs
@@ -94,6 +94,11 @@
         self.closing = false;
     }
 
+    /// Whether all waits after the takeover are over.
+    pub(super) fn is_settled(&self, now: Duration) -> bool {
+        now >= self.usable_from && now >= self.share_from && now >= self.cross_from
+    }
+
     /// Whether new requests may be sent to the endpoint, apart from slots.
     pub(super) fn is_usable(&self, now: Duration) -> bool {
         self.owned.is_some() && now >= self.usable_from && !self.is_leaving() && !self.is_going()
--- a/crates/quota/src/admission/ownership.rs
+++ b/crates/quota/src/admission/ownership.rs
@@ -80,7 +80,13 @@
 
     /// Starts the release of endpoints whose preferred owner is another entry: one at a time per
     /// service, so that the service keeps its other endpoints meanwhile.
-    pub(super) fn start_rehoming(&mut self) {
+    ///
+    /// The next owner does not wait. Therefore an endpoint is kept until its quarantine is over and
+    /// nothing that an earlier owner admitted uses its shares.
+    pub(super) fn start_rehoming(&mut self, now: Duration) {
+        if now < self.region_hold_until {
+            return;
+        }
         for service in &self.services {
             let mut next: Option<usize> = None;
             let mut one_is_going = false;
@@ -92,6 +98,7 @@
                 one_is_going |= endpoint.is_going();
                 let in_flight = |i: usize| self.endpoints[i].in_flight;
                 if endpoint.preferred_elsewhere
+                    && endpoint.is_settled(now)
                     && next.is_none_or(|n| endpoint.in_flight < in_flight(n))
                 {
                     next = Some(position);
--- a/crates/quota/tests/quota/admission_cases.rs
+++ b/crates/quota/tests/quota/admission_cases.rs
@@ -247,6 +247,28 @@
     assert_eq!(owner.read(HOME), NONE);
 }
 
+/// Guards against passing on an endpoint in quarantine to an owner that does not wait.
+#[test]
+fn quarantine_is_not_released() {
+    let mut owner = Owner::new(100, profile(8, 1.0));
+    owner.change(ConfigChange::AddEntry(entry(9, FailureDomainId(0))));
+    for (id, entry, takeover) in [
+        (0, 1, Takeover::Clean),
+        (4, 1, Takeover::Clean),
+        (6, 1, Takeover::Clean),
+        (2, 0, Takeover::Quarantine),
+    ] {
+        owner.change(owned(EndpointId(id), Some(EntryId(entry)), 9, takeover));
+    }
+    owner.change(leaving(0));
+    owner.change(active(EntryId(1), 1));
+    owner.advance(1_000);
+    let released = |o: &mut Owner| o.take_actions().contains(&"release 2 9".to_string());
+    assert!(!released(&mut owner));
+    owner.advance(10);
+    assert!(released(&mut owner));
+}
+
 /// Guards against endpoints that attract traffic although they fail or are slow.
 #[test]
 fn bad_endpoints_get_less() {
