--- a/crates/settings/tests/examples.rs
+++ b/crates/settings/tests/examples.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 #[test]
-fn example_deployments_are_valid() {
+fn examples_are_valid() {
     struct Case {
         file: &'static str,
         slots_of_third_service: u32,
@@ -24,6 +24,16 @@
         let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
         let path = root.join(case.file).join("deployment.jsonc");
         let deployment = Deployment::load(&path).expect("the example is valid");
+        let entry = EntrySettings::load(&path.with_file_name("entry.jsonc"));
+        let entry = entry.expect("the entry example is valid");
+        let control = ControlSettings::load(&path.with_file_name("control.jsonc"));
+        let control = control.expect("the control example is valid");
+        let known = |name: &str| {
+            let mut domains = deployment.topology.failure_domains.iter();
+            domains.any(|d| d.name == name)
+        };
+        assert!(known(&entry.failure_domain) && known(&control.failure_domain));
+        assert!(deployment.topology.entry_by_name(&entry.name).is_some());
         let topology = &deployment.topology;
         assert_eq!(topology.regions.len(), 3, "{}", case.file);
         assert_eq!(topology.failure_domains.len(), 6, "{}", case.file);
