Add the administration API

Cause: operators change profiles, assignments, limits, drains and VMs over HTTP, and need versions, resends, roles and errors that scripts can act on.

Ruled out: - Handlers that reach into the control process: they use the trait AdminBackend, so that they run in tests on a bare state machine. - Roles checked by each handler on its own: the role stands in the route table, and one extractor checks it for every route. - The error answers in the control crate: entries need the same ones, so they are in a new crate, http.

Before: no interface for operators.

Conclusion: the API is complete except for its listener, which the control process owns.

--- /dev/null
+++ b/crates/control/src/admin/change.rs
@@ -0,0 +1,129 @@
+use super::AdminContext;
+use super::caller::Caller;
+use super::wire::ChangedWire;
+use actix_web::HttpRequest;
+use actix_web::http::header::{ETAG, HeaderValue, IF_MATCH, IF_NONE_MATCH};
+use actix_web::{HttpResponse, web};
+use mangospindle_http::Problem;
+use mangospindle_model::ErrorKind;
+use mangospindle_state::{Actor, Command, CommandKind, Outcome, RequestId};
+
+/// Header that names the request across resends.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Longest `Idempotency-Key`, in bytes; the state machine has the same limit.
+const MAX_KEY_BYTES: usize = 128;
+
+/// A request for a change that is not yet a command.
+pub(super) struct Change {
+    cx: web::Data<AdminContext>,
+    request: RequestId,
+    actor: Actor,
+}
+
+impl Change {
+    /// Takes who asks and under which identifier.
+    pub(super) fn new(
+        cx: web::Data<AdminContext>,
+        caller: Caller,
+        req: &HttpRequest,
+    ) -> Result<Self, Problem> {
+        let key = text_header(req, IDEMPOTENCY_KEY)?
+            .ok_or_else(|| Problem::from(ErrorKind::MissingIdempotencyKey))?;
+        if !(1..=MAX_KEY_BYTES).contains(&key.len()) {
+            let detail = format!("Idempotency-Key has 1 to {MAX_KEY_BYTES} bytes");
+            return Err(Problem::new(ErrorKind::BadRequest, detail));
+        }
+        Ok(Change {
+            cx,
+            request: RequestId(key.to_string()),
+            actor: Actor::Operator(caller.name),
+        })
+    }
+
+    /// Proposes the change and answers with the version of the configuration after it.
+    pub(super) async fn propose(
+        self,
+        kind: CommandKind,
+        etag: Option<String>,
+    ) -> Result<HttpResponse, Problem> {
+        let command = Command {
+            request: self.request,
+            actor: self.actor,
+            // The leader sets it.
+            leader_time_ms: 0,
+            kind,
+        };
+        match self.cx.backend.propose(command).await? {
+            Outcome::Done { version } => {
+                let mut response = HttpResponse::Ok();
+                if let Some(etag) = etag {
+                    response.insert_header((ETAG, etag));
+                }
+                Ok(response.json(ChangedWire { version }))
+            }
+            Outcome::Refused {
+                kind,
+                detail,
+                current_version,
+            } => Err(Problem {
+                kind,
+                detail,
+                current_version,
+            }),
+            Outcome::Claim(_) => Err(Problem::new(ErrorKind::Internal, "the change was a claim")),
+        }
+    }
+}
+
+/// A strong entity tag. `None` if the value cannot stand in a header.
+pub(super) fn etag<V>(value: V) -> Option<String>
+where
+    V: ToString,
+{
+    let tag = format!("\"{}\"", value.to_string());
+    HeaderValue::from_str(&tag).ok().map(|_| tag)
+}
+
+/// The value in `If-Match`, which every change of an item with a version needs.
+pub(super) fn if_match(req: &HttpRequest) -> Result<&str, Problem> {
+    let header = text_header(req, IF_MATCH.as_str())?;
+    let tag = header.ok_or_else(|| Problem::from(ErrorKind::MissingVersion))?;
+    (tag.strip_prefix('"').and_then(|t| t.strip_suffix('"')))
+        .filter(|t| !t.contains('"'))
+        .ok_or_else(|| Problem::new(ErrorKind::BadRequest, "If-Match is one quoted entity tag"))
+}
+
+/// The number in `If-Match`.
+pub(super) fn if_match_number<N>(req: &HttpRequest) -> Result<N, Problem>
+where
+    N: std::str::FromStr,
+{
+    let not_a_number = |_| Problem::new(ErrorKind::BadRequest, "If-Match is not a version");
+    if_match(req)?.parse().map_err(not_a_number)
+}
+
+/// The version that a put is based on: `If-None-Match: *` creates.
+pub(super) fn base_version(req: &HttpRequest) -> Result<u64, Problem> {
+    match text_header(req, IF_NONE_MATCH.as_str())? {
+        None => if_match_number(req),
+        Some("*") if !req.headers().contains_key(IF_MATCH) => Ok(0),
+        Some(_) => Err(Problem::new(
+            ErrorKind::BadRequest,
+            "If-None-Match is only used as `*` and without If-Match",
+        )),
+    }
+}
+
+fn text_header<'a>(req: &'a HttpRequest, name: &str) -> Result<Option<&'a str>, Problem> {
+    let mut values = req.headers().get_all(name);
+    let value = values.next().map(|v| v.to_str());
+    match (value, values.next()) {
+        (None, _) => Ok(None),
+        (Some(Ok(text)), None) => Ok(Some(text)),
+        _ => {
+            let detail = format!("the header {name} is repeated or not visible ASCII");
+            Err(Problem::new(ErrorKind::BadRequest, detail))
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/admin/handlers.rs
@@ -0,0 +1,19 @@
+//! The handlers of the administration API, by resource.
+
+pub(super) mod actions;
+pub(super) mod audit;
+pub(super) mod endpoints;
+pub(super) mod entries;
+pub(super) mod health;
+pub(super) mod profiles;
+pub(super) mod regions;
+pub(super) mod services;
+pub(super) mod status;
+
+use mangospindle_http::Problem;
+use mangospindle_model::ErrorKind;
+
+/// The answer for a name in a path that names nothing.
+fn not_found(what: &str, name: &str) -> Problem {
+    Problem::new(ErrorKind::NotFound, format!("there is no {what} `{name}`"))
+}
--- /dev/null
+++ b/crates/control/src/admin/handlers/entries.rs
@@ -0,0 +1,50 @@
+use crate::admin::AdminContext;
+use crate::admin::caller::Caller;
+use crate::admin::change::Change;
+use crate::admin::wire::{EntryWire, FenceWire, NewEntryWire, incarnation_from_text};
+use actix_web::{HttpRequest, HttpResponse, web};
+use mangospindle_http::Problem;
+use mangospindle_model::ErrorKind;
+use mangospindle_state::CommandKind;
+
+pub(in crate::admin) async fn list(
+    _caller: Caller,
+    cx: web::Data<AdminContext>,
+) -> Result<HttpResponse, Problem> {
+    let config = cx.backend.config().await?;
+    let ids = config.topology.entry_ids();
+    let all = ids.map(|id| EntryWire::new(&config, id));
+    Ok(HttpResponse::Ok().json(all.collect::<Vec<_>>()))
+}
+
+pub(in crate::admin) async fn add(
+    caller: Caller,
+    req: HttpRequest,
+    cx: web::Data<AdminContext>,
+    body: web::Json<NewEntryWire>,
+) -> Result<HttpResponse, Problem> {
+    let config = cx.backend.config().await?;
+    let change = Change::new(cx, caller, &req)?;
+    let entry = body.into_inner().resolve(&config.topology)?;
+    change.propose(CommandKind::AddEntry { entry }, None).await
+}
+
+pub(in crate::admin) async fn fence(
+    caller: Caller,
+    req: HttpRequest,
+    cx: web::Data<AdminContext>,
+    name: web::Path<String>,
+    body: web::Json<FenceWire>,
+) -> Result<HttpResponse, Problem> {
+    let change = Change::new(cx, caller, &req)?;
+    let malformed = || Problem::new(ErrorKind::BadRequest, "incarnation: not 16 hex digits");
+    let incarnation = match &body.incarnation {
+        None => None,
+        Some(text) => Some(incarnation_from_text(text).ok_or_else(malformed)?),
+    };
+    let kind = CommandKind::FenceVm {
+        name: name.into_inner(),
+        incarnation,
+    };
+    change.propose(kind, None).await
+}
--- /dev/null
+++ b/crates/control/src/admin/routes.rs
@@ -0,0 +1,182 @@
+use super::handlers::{
+    actions, audit, endpoints, entries, health, profiles, regions, services, status,
+};
+use super::{AdminContext, Role};
+use actix_web::{HttpRequest, Route, web};
+use mangospindle_http::Problem;
+use mangospindle_model::ErrorKind;
+
+/// Largest request body. The largest valid one, a profile, has less than 1 KiB.
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// An operation of the API.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(
+    missing_docs,
+    reason = "the names are the operation identifiers of the API document"
+)]
+pub enum Operation {
+    ListProfiles,
+    GetProfile,
+    PutProfile,
+    DeleteProfile,
+    GetProfileHistory,
+    ListServices,
+    AssignProfile,
+    ListRegions,
+    SetRegionLimit,
+    ListEndpoints,
+    AddEndpoint,
+    SetEndpointDrain,
+    ListEntries,
+    AddEntry,
+    FenceVm,
+    GetAudit,
+    GetStatus,
+    GetAction,
+    GetLive,
+    GetReady,
+    GetMetrics,
+}
+
+/// A row of [`ROUTES`].
+#[derive(Clone, Copy, Debug)]
+pub struct RouteInfo {
+    /// What the route does.
+    pub operation: Operation,
+    /// HTTP method.
+    pub method: &'static str,
+    /// Path with parameters in braces.
+    pub path: &'static str,
+    /// Role that a caller needs; `None` for probes, which need no token.
+    pub role: Option<Role>,
+}
+
+const fn row(
+    method: &'static str,
+    path: &'static str,
+    role: Option<Role>,
+    operation: Operation,
+) -> RouteInfo {
+    RouteInfo {
+        operation,
+        method,
+        path,
+        role,
+    }
+}
+
+const VIEWER: Option<Role> = Some(Role::Viewer);
+const OPERATOR: Option<Role> = Some(Role::Operator);
+const OWNER: Option<Role> = Some(Role::Owner);
+
+/// Every route of the API.
+pub const ROUTES: [RouteInfo; 21] = [
+    row("GET", "/v1/profiles", VIEWER, Operation::ListProfiles),
+    row("GET", "/v1/profiles/{name}", VIEWER, Operation::GetProfile),
+    row(
+        "PUT",
+        "/v1/profiles/{name}",
+        OPERATOR,
+        Operation::PutProfile,
+    ),
+    row(
+        "DELETE",
+        "/v1/profiles/{name}",
+        OWNER,
+        Operation::DeleteProfile,
+    ),
+    row(
+        "GET",
+        "/v1/profiles/{name}/history",
+        VIEWER,
+        Operation::GetProfileHistory,
+    ),
+    row("GET", "/v1/services", VIEWER, Operation::ListServices),
+    row(
+        "PUT",
+        "/v1/services/{name}/profile",
+        OPERATOR,
+        Operation::AssignProfile,
+    ),
+    row("GET", "/v1/regions", VIEWER, Operation::ListRegions),
+    row(
+        "PUT",
+        "/v1/regions/{name}/limit",
+        OPERATOR,
+        Operation::SetRegionLimit,
+    ),
+    row("GET", "/v1/endpoints", VIEWER, Operation::ListEndpoints),
+    row("POST", "/v1/endpoints", OWNER, Operation::AddEndpoint),
+    row(
+        "PUT",
+        "/v1/endpoints/{name}/drain",
+        OPERATOR,
+        Operation::SetEndpointDrain,
+    ),
+    row("GET", "/v1/entries", VIEWER, Operation::ListEntries),
+    row("POST", "/v1/entries", OWNER, Operation::AddEntry),
+    row("POST", "/v1/vms/{name}/fence", OWNER, Operation::FenceVm),
+    row("GET", "/v1/audit", VIEWER, Operation::GetAudit),
+    row("GET", "/v1/status", VIEWER, Operation::GetStatus),
+    row(
+        "GET",
+        "/v1/actions/{service}/{key}",
+        VIEWER,
+        Operation::GetAction,
+    ),
+    row("GET", "/livez", None, Operation::GetLive),
+    row("GET", "/readyz", None, Operation::GetReady),
+    row("GET", "/metrics", VIEWER, Operation::GetMetrics),
+];
+
+/// Registers the API with a server: `App::new().configure(admin::configure(cx))`.
+pub fn configure(cx: AdminContext) -> impl FnOnce(&mut web::ServiceConfig) {
+    let bad = |kind: &str, e: &dyn std::fmt::Display| {
+        actix_web::Error::from(Problem::new(ErrorKind::BadRequest, format!("{kind}: {e}")))
+    };
+    move |cfg| {
+        cfg.app_data(web::Data::new(cx))
+            .app_data(
+                (web::JsonConfig::default().limit(MAX_BODY_BYTES))
+                    .error_handler(move |e, _| bad("body", &e)),
+            )
+            .app_data(web::QueryConfig::default().error_handler(move |e, _| bad("query", &e)))
+            .app_data(web::PathConfig::default().error_handler(move |e, _| bad("path", &e)));
+        for info in &ROUTES {
+            cfg.route(info.path, handler(info.operation));
+        }
+        cfg.default_service(web::to(no_route));
+    }
+}
+
+async fn no_route(req: HttpRequest) -> Result<String, Problem> {
+    let detail = format!("there is no {} {}", req.method(), req.path());
+    Err(Problem::new(ErrorKind::NotFound, detail))
+}
+
+fn handler(operation: Operation) -> Route {
+    match operation {
+        Operation::ListProfiles => web::get().to(profiles::list),
+        Operation::GetProfile => web::get().to(profiles::get),
+        Operation::PutProfile => web::put().to(profiles::put),
+        Operation::DeleteProfile => web::delete().to(profiles::delete),
+        Operation::GetProfileHistory => web::get().to(audit::profile_history),
+        Operation::ListServices => web::get().to(services::list),
+        Operation::AssignProfile => web::put().to(services::assign),
+        Operation::ListRegions => web::get().to(regions::list),
+        Operation::SetRegionLimit => web::put().to(regions::set_limit),
+        Operation::ListEndpoints => web::get().to(endpoints::list),
+        Operation::AddEndpoint => web::post().to(endpoints::add),
+        Operation::SetEndpointDrain => web::put().to(endpoints::set_drain),
+        Operation::ListEntries => web::get().to(entries::list),
+        Operation::AddEntry => web::post().to(entries::add),
+        Operation::FenceVm => web::post().to(entries::fence),
+        Operation::GetAudit => web::get().to(audit::page),
+        Operation::GetStatus => web::get().to(status::get),
+        Operation::GetAction => web::get().to(actions::get),
+        Operation::GetLive => web::get().to(health::live),
+        Operation::GetReady => web::get().to(health::ready),
+        Operation::GetMetrics => web::get().to(health::metrics),
+    }
+}
--- /dev/null
+++ b/crates/control/src/admin/wire/changed_wire.rs
@@ -0,0 +1,8 @@
+use serde::{Deserialize, Serialize};
+
+/// Answer to an accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangedWire {
+    /// Version of the configuration after the change.
+    pub version: u64,
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,3 @@
 //! The control replica.
+
+pub mod admin;
--- /dev/null
+++ b/crates/control/tests/admin/access.rs
@@ -0,0 +1,96 @@
+use crate::backend::StateBackend;
+use actix_web::App;
+use actix_web::http::Method;
+use actix_web::test::{TestRequest, call_service, init_service};
+use mangospindle_control::admin::{AdminContext, ROUTES, Role, TokenError, Tokens, configure};
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+
+fn hash(secret: &str) -> String {
+    format!("{:x}", Sha256::digest(secret))
+}
+
+/// Guards against a route that can be used without its role, and against a route that refuses it.
+#[actix_web::test]
+async fn every_route_checks_its_role() {
+    let mut tokens = Tokens::default();
+    for role in Role::ALL {
+        let name = role.as_str();
+        tokens
+            .add(name, role, &hash(&format!("secret of {name}")))
+            .unwrap();
+    }
+    let cx = AdminContext::new(Arc::new(StateBackend::new()), tokens);
+    let app = init_service(App::new().configure(configure(cx))).await;
+    let callers = [
+        (None, None),
+        (Some("Bearer wrong"), None),
+        (Some("secret of owner"), None),
+        (Some("Bearer secret of viewer"), Some(Role::Viewer)),
+        (Some("Bearer secret of operator"), Some(Role::Operator)),
+        (Some("Bearer secret of owner"), Some(Role::Owner)),
+    ];
+    for route in &ROUTES {
+        for (authorization, role) in callers {
+            let method = Method::from_bytes(route.method.as_bytes()).unwrap();
+            let uri = route.path.replace(['{', '}'], "");
+            let mut req = TestRequest::with_uri(&uri).method(method);
+            if let Some(value) = authorization {
+                req = req.insert_header(("Authorization", value));
+            }
+            let status = call_service(&app, req.to_request()).await.status();
+            let refused = match (role, route.role) {
+                (_, None) => None,
+                (None, Some(_)) => Some(401),
+                (Some(has), Some(needs)) if has < needs => Some(403),
+                _ => None,
+            };
+            let at = format!(
+                "{} {} by {authorization:?}: {status}",
+                route.method, route.path
+            );
+            match refused {
+                Some(code) => assert_eq!(status.as_u16(), code, "{at}"),
+                None => assert!(!matches!(status.as_u16(), 401 | 403), "{at}"),
+            }
+        }
+    }
+}
+
+/// Guards against tokens that nobody can use or tell apart, and an open listener.
+#[test]
+fn settings() {
+    let mut tokens = Tokens::default();
+    let (local, open) = (
+        "127.0.0.1:1".parse().unwrap(),
+        "10.0.0.1:1".parse().unwrap(),
+    );
+    assert_eq!(tokens.check_listener(local), Ok(()));
+    assert_eq!(
+        tokens.check_listener(open),
+        Err(TokenError::OpenListener(open))
+    );
+    let cases = [
+        ("", hash("a"), Err(TokenError::BadName(String::new()))),
+        (
+            "a",
+            "12".to_string(),
+            Err(TokenError::MalformedHash("a".to_string())),
+        ),
+        (
+            "a",
+            "é".repeat(32),
+            Err(TokenError::MalformedHash("a".to_string())),
+        ),
+        ("a", hash("a").to_uppercase(), Ok(())),
+        ("a", hash("b"), Err(TokenError::BadName("a".to_string()))),
+    ];
+    for (name, hash, expect) in cases {
+        assert_eq!(
+            tokens.add(name, Role::Viewer, &hash),
+            expect,
+            "{name} {hash}"
+        );
+    }
+    assert_eq!(tokens.check_listener(open), Ok(()));
+}
