Add mangospindlectl

Cause: operators and scripts need commands with version checks, retries and exit codes that say what can be concluded.

Ruled out: - JSON types of its own: the command line uses those of the administration API. - Taking every connect error as "not sent": the HTTP library also reports a connection that ends before the answer so.

Before: an empty binary.

Conclusion: all commands run against the API on a bare state machine; `lookup` has not been run against an entry yet.

--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the command line against the administration API on a bare state machine.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "../../../control/tests/admin/backend.rs"]
+mod backend;
+mod commands;
+mod lost_answers;
+mod server;
--- a/crates/control/tests/admin/backend.rs
+++ b/crates/control/tests/admin/backend.rs
@@ -35,7 +35,7 @@
         });
         let key = ClaimKey {
             service: ServiceId(0),
-            key: "k1".to_string(),
+            key: "k/1%".to_string(),
         };
         let attempt = Attempt {
             entry: EntryId(0),
--- a/crates/control/tests/admin/requests.rs
+++ b/crates/control/tests/admin/requests.rs
@@ -307,7 +307,7 @@
             guards: "reads that show nothing, or the recorded answer of a caller",
             requests: vec![
                 get(
-                    "GET /v1/actions/s/k1",
+                    "GET /v1/actions/s/k%2F1%25",
                     200,
                     "\"state\":\"completed\",\"answer_status\":201,\"answer_bytes\":5}",
                 ),
--- a/src/bin/mangospindlectl.rs
+++ b/src/bin/mangospindlectl.rs
@@ -1,3 +1,7 @@
-//! Thin binary.
+//! The command line of operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    mangospindle_cli::run()
+}
