Make the tests of state, administration API and command line compact

Ruled out: dropping cases. Every step and request is still there, as one line of a table; the fuzzed run is stricter than before: no replaced or fenced process may come back, where it only looked at fenced ones.

--- a/crates/cli/tests/cli/lost_answers.rs
+++ b/crates/cli/tests/cli/lost_answers.rs
@@ -26,82 +26,72 @@
 struct Case {
     /// The failure that the case guards against.
     guards: &'static str,
-    /// Servers before the one that works, if there is one.
-    before: Vec<String>,
-    works: bool,
+    /// Servers: `closed`, `silent`, `https`, and `good` for one that works.
+    servers: &'static [&'static str],
     answers_to_lose: u32,
     exit: Exit,
     /// Changes of the limit that the state must hold at the end.
-    changes: u64,
+    changes: usize,
 }
 
 #[actix_web::test]
 async fn lost_answers() {
+    let case = |guards, servers, answers_to_lose, exit, changes| Case {
+        guards,
+        servers,
+        answers_to_lose,
+        exit,
+        changes,
+    };
+    let second = "giving up while another replica would answer";
+    let may_be = "reporting a change as not made when it may have been";
+    let forgotten = "forgetting a lost answer because the last attempt had no connection";
     let cases = [
-        Case {
-            guards: "a change made twice after lost answers",
-            before: vec![],
-            works: true,
-            answers_to_lose: 2,
-            exit: Exit::Done,
-            changes: 1,
-        },
-        Case {
-            guards: "giving up while another replica would answer",
-            before: vec![closed(), silent()],
-            works: true,
-            answers_to_lose: 0,
-            exit: Exit::Done,
-            changes: 1,
-        },
-        Case {
-            guards: "reporting a change as not made when it may have been",
-            before: vec![],
-            works: true,
-            answers_to_lose: 6,
-            exit: Exit::Unknown,
-            changes: 1,
-        },
-        Case {
-            guards: "forgetting a lost answer because the last attempt had no connection",
-            before: vec![silent(), closed()],
-            works: false,
-            answers_to_lose: 0,
-            exit: Exit::Unknown,
-            changes: 0,
-        },
-        Case {
-            guards: "reporting an unknown result when nothing was sent",
-            before: vec![closed()],
-            works: false,
-            answers_to_lose: 0,
-            exit: Exit::Unavailable,
-            changes: 0,
-        },
-        Case {
-            guards: "repeating what cannot succeed",
-            before: vec!["https://127.0.0.1:1".to_string()],
-            works: false,
-            answers_to_lose: 0,
-            exit: Exit::Usage,
-            changes: 0,
-        },
+        case(
+            "a change made twice after lost answers",
+            &["good"],
+            2,
+            Exit::Done,
+            1,
+        ),
+        case(second, &["closed", "silent", "good"], 0, Exit::Done, 1),
+        case(may_be, &["good"], 6, Exit::Unknown, 1),
+        case(forgotten, &["silent", "closed"], 0, Exit::Unknown, 0),
+        case(
+            "an unknown result with nothing sent",
+            &["closed"],
+            0,
+            Exit::Unavailable,
+            0,
+        ),
+        case(
+            "repeating what cannot succeed",
+            &["https"],
+            0,
+            Exit::Usage,
+            0,
+        ),
     ];
     for case in cases {
         let backend = Arc::new(StateBackend::new());
         let server = start(backend.clone());
         let at = case.guards;
         *backend.answers_to_lose.lock().unwrap() = case.answers_to_lose;
-        let mut servers = case.before.clone();
-        servers.extend(case.works.then(|| server.clone()));
+        let url = |name: &&str| match *name {
+            "closed" => closed(),
+            "silent" => silent(),
+            "https" => "https://127.0.0.1:1".to_string(),
+            _ => server.clone(),
+        };
+        let servers: Vec<String> = case.servers.iter().map(url).collect();
         let limit = ["region", "limit", "r0", "50", "--base", "100"];
         let result = run(&servers.join(","), &limit).await;
         let exit = result.as_ref().map_or_else(|f| f.exit, |d| d.exit);
         assert_eq!(exit, case.exit, "{at}: {result:?}");
         let audit = run(&server, &["audit"]).await.unwrap().text;
-        let changes = audit.matches("set_region_limit").count() as u64;
+        let changes = audit.matches("set_region_limit").count();
         assert_eq!(changes, case.changes, "{at}: {audit}");
-        if case.works && case.exit == Exit::Unknown {
+        if case.servers == ["good"] && case.exit == Exit::Unknown {
             let message = result.unwrap_err().message;
             let id = message.rsplit(' ').next().unwrap();
             let again: Vec<&str> = ["--request-id", id].iter().chain(&limit).copied().collect();
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -7,3 +7,6 @@
 mod commands;
 mod lost_answers;
 mod server;
+#[allow(dead_code, reason = "the tests of the state machine use the rest")]
+#[path = "../../../state/tests/state/support.rs"]
+mod support;
--- a/crates/control/tests/admin/backend.rs
+++ b/crates/control/tests/admin/backend.rs
@@ -1,15 +1,13 @@
+use crate::support::{attempt, bootstrap, claim, end_claim, join, key};
 use futures::future::LocalBoxFuture;
 use mangospindle_control::admin::{
     AdminBackend, EndpointProgress, EntryReport, ReplicaReport, ReplicaRole, StatusReport,
 };
 use mangospindle_http::Problem;
-use mangospindle_model::{
-    Endpoint, Entry, EntryId, ErrorKind, FailureDomain, FailureDomainId, Hedging, Profile, Region,
-    RegionId, RequestClass, Service, ServiceId, Topology, Weights,
-};
+use mangospindle_model::ErrorKind;
 use mangospindle_state::{
-    Actor, Attempt, AuditPage, ClaimKey, ClaimOutcome, Command, CommandKind, Config, Outcome,
-    RecordedAnswer, RequestId, State,
+    Actor, AuditPage, ClaimKey, ClaimOutcome, Command, CommandKind, Config, Outcome, RequestId,
+    State,
 };
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -23,40 +21,18 @@
 }
 
 impl StateBackend {
+    /// Entry a0 has joined as process 0xab and owns x0 and x1; the action with the key `k/1%` of
+    /// service s is completed.
     pub fn new() -> Self {
         let backend = StateBackend::default();
-        backend.apply_kind(CommandKind::Bootstrap {
-            topology: topology(),
-            profiles: vec![profile("calm")],
-        });
-        backend.apply_kind(CommandKind::EntryJoin {
-            entry: EntryId(0),
-            incarnation: 0xab,
-        });
-        let key = ClaimKey {
-            service: ServiceId(0),
-            key: "k/1%".to_string(),
-        };
-        let attempt = Attempt {
-            entry: EntryId(0),
-            incarnation: 0xab,
-            sequence: 1,
-        };
-        backend.apply_kind(CommandKind::Claim {
-            key: key.clone(),
-            digest: [1; 32],
-            attempt,
-        });
-        let answer = RecordedAnswer {
-            status: 201,
-            content_type: None,
-            body: Some(vec![7; 5]),
-        };
-        backend.apply_kind(CommandKind::CompleteClaim {
-            key,
-            attempt,
-            answer,
-        });
+        let (key, attempt) = (key("k/1%"), attempt(0, 0xab, 1));
+        let kinds = [
+            bootstrap(),
+            join(0, 0xab),
+            claim(&key, 1, attempt),
+            end_claim("complete", &key, attempt, 5),
+        ];
+        kinds.into_iter().for_each(|kind| backend.apply_kind(kind));
         backend
     }
 
@@ -126,7 +102,7 @@
                 last_heard: None,
             }],
             entries: vec![EntryReport {
-                name: "e0".to_string(),
+                name: "a0".to_string(),
                 applied_version: Some(2),
                 last_heard: Some(Duration::from_millis(10)),
             }],
@@ -146,59 +122,3 @@
         "mangospindle_up 1\n".to_string()
     }
 }
-
-pub fn profile(name: &str) -> Profile {
-    Profile {
-        name: name.to_string(),
-        weights: Weights {
-            latency: 1.0,
-            headroom: 0.5,
-            drain: 0.0,
-        },
-        cross_region_limit: 10,
-        pace_start: 0.1,
-        pace_growth: 1.5,
-        retry_budget: 0.1,
-        hedging: Hedging::After {
-            delay: Duration::from_millis(50),
-        },
-        queue_timeout: Duration::from_millis(100),
-        shed_order: RequestClass::ALL.to_vec(),
-    }
-}
-
-fn topology() -> Topology {
-    let failure_domain = FailureDomainId(0);
-    let address = |port: u16| ([127, 0, 0, 1], port).into();
-    Topology {
-        regions: vec![Region {
-            name: "r0".to_string(),
-            max_in_progress: 100,
-        }],
-        failure_domains: vec![FailureDomain {
-            name: "d0".to_string(),
-            region: RegionId(0),
-        }],
-        entries: vec![Entry {
-            name: "e0".to_string(),
-            failure_domain,
-            public_address: address(1),
-            internal_address: address(2),
-        }],
-        services: vec![Service {
-            name: "s".to_string(),
-            write_class: RequestClass::AtMostOnce,
-            max_deadline: Duration::from_secs(30),
-            profile: "calm".to_string(),
-        }],
-        endpoints: vec![Endpoint {
-            name: "x0".to_string(),
-            service: ServiceId(0),
-            failure_domain,
-            address: address(3),
-            slots: 3,
-            max_connections: 330,
-        }],
-        ..Topology::default()
-    }
-}
--- a/crates/control/tests/admin/document.rs
+++ b/crates/control/tests/admin/document.rs
@@ -1,4 +1,4 @@
-use crate::backend::profile;
+use crate::support::profile;
 use mangospindle_control::admin::ROUTES;
 use mangospindle_control::admin::wire::ProfileWire;
 use mangospindle_model::ErrorKind;
@@ -56,7 +56,7 @@
         .collect();
     assert_eq!(documented, routes);
     let schemas = &document["components"]["schemas"];
-    let wire = serde_json::to_value(ProfileWire::from(&profile("p"))).unwrap();
+    let wire = serde_json::to_value(ProfileWire::from(&profile("p", 1))).unwrap();
     assert_eq!(keys(&schemas["Profile"]["properties"]), keys(&wire));
     let kinds: BTreeSet<_> = (schemas["Problem"]["properties"]["type"]["enum"]
         .as_array()
--- a/crates/control/tests/admin/main.rs
+++ b/crates/control/tests/admin/main.rs
@@ -6,3 +6,6 @@
 mod backend;
 mod document;
 mod requests;
+#[allow(dead_code, reason = "the tests of the state machine use the rest")]
+#[path = "../../../state/tests/state/support.rs"]
+mod support;
--- a/crates/state/tests/state/fuzz.rs
+++ b/crates/state/tests/state/fuzz.rs
@@ -1,7 +1,7 @@
-use crate::oracle::Oracle;
+use crate::oracle::{Oracle, process};
 use crate::support::*;
 use mangospindle_model::{EndpointId, EntryId, RegionId, ServiceId};
-use mangospindle_state::{Command, CommandKind, EntryStatus, Outcome, State};
+use mangospindle_state::{Command, CommandKind, Outcome, State};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
 use std::time::Instant;
@@ -101,12 +101,8 @@
 
     /// The process of an entry that joined last, or a number that never joined.
     fn process(&self, entry: u16) -> u64 {
-        match self.replica.state.config().entry_status[usize::from(entry)] {
-            EntryStatus::Active { incarnation } | EntryStatus::Leaving { incarnation } => {
-                incarnation
-            }
-            EntryStatus::Absent | EntryStatus::Fenced => u64::MAX,
-        }
+        let status = &self.replica.state.config().entry_status[usize::from(entry)];
+        process(status).unwrap_or(u64::MAX)
     }
 
     fn step(&mut self, op: &Op) {
@@ -169,18 +165,10 @@
                 let key = key(&format!("k{k}"));
                 let attempt = attempt(*entry, self.process(*entry), *sequence);
                 match action {
-                    0 | 1 => CommandKind::Claim {
-                        key,
-                        digest: [k; 32],
-                        attempt,
-                    },
-                    2 => CommandKind::ReleaseClaim { key, attempt },
-                    _ if sequence % 3 == 0 => CommandKind::MarkClaimUnknown { key, attempt },
-                    _ => CommandKind::CompleteClaim {
-                        key,
-                        attempt,
-                        answer: answer(2),
-                    },
+                    0 | 1 => claim(&key, k, attempt),
+                    2 => end_claim("give-up", &key, attempt, 2),
+                    _ if sequence % 3 == 0 => end_claim("unknown", &key, attempt, 2),
+                    _ => end_claim("complete", &key, attempt, 2),
                 }
             }
             Op::Resend(i) => {
--- a/crates/state/tests/state/measure.rs
+++ b/crates/state/tests/state/measure.rs
@@ -24,22 +24,10 @@
         // Keys of 16 to 40 bytes.
         let key = key(&format!("{i:0width$}", width = 16 + (i % 25) as usize));
         let attempt = attempt(0, 1, i);
-        let claim = CommandKind::Claim {
-            key: key.clone(),
-            digest: [i as u8; 32],
-            attempt,
-        };
-        assert_eq!(
-            replica.send("", claim),
-            Outcome::Claim(ClaimOutcome::Granted)
-        );
-        let answer = answer(64);
-        let done = CommandKind::CompleteClaim {
-            key,
-            attempt,
-            answer,
-        };
-        assert!(matches!(replica.send("", done), Outcome::Done { .. }));
+        let granted = Outcome::Claim(ClaimOutcome::Granted);
+        assert_eq!(replica.send("", claim(&key, i as u8, attempt)), granted);
+        let done = replica.send("", end_claim("complete", &key, attempt, 64));
+        assert!(matches!(done, Outcome::Done { .. }));
     }
     let time = start.elapsed();
     let live = resident_kib() - before;
--- a/crates/state/tests/state/oracle.rs
+++ b/crates/state/tests/state/oracle.rs
@@ -1,5 +1,4 @@
 use crate::support::{DOMAIN_OF_ENTRY, ENTRY_NAMES, MAX_DEADLINE_MS};
-use mangospindle_model::EntryId;
 use mangospindle_state::{
     Attempt, ChangesSince, ClaimKey, ClaimOutcome, Command, CommandKind, Config, EntryStatus,
     Outcome, State, Takeover,
@@ -19,6 +18,16 @@
     settled: bool,
 }
 
+/// The process of an entry with this status.
+pub fn process(status: &EntryStatus) -> Option<u64> {
+    match status {
+        EntryStatus::Active { incarnation } | EntryStatus::Leaving { incarnation } => {
+            Some(*incarnation)
+        }
+        EntryStatus::Absent | EntryStatus::Fenced => None,
+    }
+}
+
 /// Checks the guarantees against facts that the state machine does not use: which process had
 /// an endpoint, when its requests end, which attempt was told that it may run.
 #[derive(Default)]
@@ -29,7 +38,8 @@
     profile_versions: BTreeMap<String, u64>,
     holders: BTreeMap<ClaimKey, Holder>,
     released: BTreeSet<Attempt>,
-    fenced: BTreeSet<(EntryId, u64)>,
+    /// Processes that were replaced or fenced, by entry.
+    past: BTreeSet<(usize, u64)>,
     pub grants: usize,
 }
 
@@ -92,19 +102,12 @@
                 assert!(config.is_active(owner) && (same || !home_active));
             }
         }
-        for (entry, status) in config.entry_status.iter().enumerate() {
-            let id = EntryId(entry as u16);
-            match (self.config.entry_status.get(entry), status) {
-                (Some(EntryStatus::Active { incarnation: old }), new)
-                | (Some(EntryStatus::Leaving { incarnation: old }), new)
-                    if *new == EntryStatus::Fenced =>
-                {
-                    self.fenced.insert((id, *old));
-                }
-                (_, EntryStatus::Active { incarnation }) => {
-                    assert!(!self.fenced.contains(&(id, *incarnation)));
-                }
-                _ => {}
+        let statuses = self.config.entry_status.iter().zip(&config.entry_status);
+        for (entry, (old, new)) in statuses.enumerate() {
+            if process(old) != process(new) {
+                self.past.extend(process(old).map(|p| (entry, p)));
+                let back = process(new).filter(|p| self.past.contains(&(entry, *p)));
+                assert_eq!(back, None, "a past process of entry {entry} is back");
             }
         }
     }
--- a/crates/state/tests/state/scenarios.rs
+++ b/crates/state/tests/state/scenarios.rs
@@ -1,203 +1,173 @@
 use crate::support::*;
-use mangospindle_model::{EndpointId, EntryId, ErrorKind, RegionId, ServiceId};
-use mangospindle_state::ClaimOutcome::{
-    BodyMismatch, Completed, Granted, InProgress, NotFound, Unknown,
-};
-use mangospindle_state::{ClaimOutcome, CommandKind, Outcome, Takeover, preferred_owner};
+use mangospindle_model::{EndpointId, EntryId, RegionId, ServiceId};
+use mangospindle_state::{Attempt, ClaimOutcome, CommandKind, Outcome, preferred_owner};
 
 const HOUR_MS: u64 = 3_600_000;
 
-#[derive(Clone)]
-enum Expect {
-    Done,
-    Refused(ErrorKind),
-    Conflict(Option<u64>),
-    Claim(ClaimOutcome),
-}
-
-enum Step {
-    /// Sends a command under a fresh request identifier.
-    Send(CommandKind, Expect),
-    /// Sends a command under a named request identifier.
-    SendAs(&'static str, CommandKind, Expect),
-    Wait(u64),
-    /// Moves the leader's wall clock without a command in between.
-    Jump(i64),
-    Restart,
-    Owner(u32, Option<u16>, u64, Takeover),
-    Lookup(&'static str, ClaimOutcome),
-}
-
 struct Case {
     /// The failure that the case guards against.
     guards: &'static str,
-    steps: Vec<Step>,
-}
-
-fn claim(k: &str, digest: u8, entry: u16, incarnation: u64, sequence: u64) -> CommandKind {
-    CommandKind::Claim {
-        key: key(k),
-        digest: [digest; 32],
-        attempt: attempt(entry, incarnation, sequence),
-    }
+    /// Steps, separated by `;`, each with the expected result after `=>` unless that is `done`. A
+    /// step is a command (see [`command`]), with `@ID` before it for a named request identifier, or:
+    /// - `wait 24h-1`: time passes, in hours plus or minus milliseconds;
+    /// - `jump -9h`: only the leader's wall clock moves;
+    /// - `restart`: a snapshot is taken and restored;
+    /// - `owner ENDPOINT`, `lookup KEY`: what the state says.
+    steps: &'static [&'static str],
 }
 
-fn complete(k: &str, entry: u16, incarnation: u64, sequence: u64) -> CommandKind {
-    CommandKind::CompleteClaim {
-        key: key(k),
-        attempt: attempt(entry, incarnation, sequence),
-        answer: answer(3),
-    }
+fn number<N: std::str::FromStr>(text: &str) -> N {
+    text.parse()
+        .unwrap_or_else(|_| panic!("`{text}` is not a number"))
 }
 
-fn give_up(k: &str, entry: u16, incarnation: u64, sequence: u64) -> CommandKind {
-    CommandKind::ReleaseClaim {
-        key: key(k),
-        attempt: attempt(entry, incarnation, sequence),
+/// Milliseconds of a text such as `30000`, `-9h` or `24h-1`.
+fn ms(text: &str) -> i64 {
+    match text.split_once('h') {
+        None => number(text),
+        Some((hours, rest)) => {
+            let rest = if rest.is_empty() { 0 } else { number(rest) };
+            number::<i64>(hours) * HOUR_MS as i64 + rest
+        }
     }
 }
 
-fn unknown(k: &str, entry: u16, incarnation: u64, sequence: u64) -> CommandKind {
-    CommandKind::MarkClaimUnknown {
-        key: key(k),
-        attempt: attempt(entry, incarnation, sequence),
-    }
+/// Entry, incarnation and sequence number as in `0/1/3`.
+fn attempt_of(text: &str) -> Attempt {
+    let parts: Vec<u64> = text.split('/').map(number).collect();
+    attempt(parts[0] as u16, parts[1], parts[2])
 }
 
-fn assign(profile: &str, base: &str) -> CommandKind {
-    CommandKind::AssignProfile {
-        service: ServiceId(0),
-        profile: profile.to_string(),
-        base_profile: base.to_string(),
+fn command(words: &[&str]) -> CommandKind {
+    match *words {
+        ["join", entry, process] => join(number(entry), number(process)),
+        ["leave", entry, process] => leave(number(entry), number(process)),
+        ["fence", name] => fence(name, None),
+        ["fence", name, process] => fence(name, Some(number(process))),
+        ["release", id, entry, epoch] => release(number(id), number(entry), number(epoch)),
+        ["put", name, limit, base] => put(name, number(limit), number(base)),
+        ["delete", name, base] => delete(name, number(base)),
+        ["assign", profile, base] => CommandKind::AssignProfile {
+            service: ServiceId(0),
+            profile: profile.to_string(),
+            base_profile: base.to_string(),
+        },
+        ["limit", limit, base] => CommandKind::SetRegionLimit {
+            region: RegionId(0),
+            max_in_progress: number(limit),
+            base: number(base),
+        },
+        ["drain", id] => CommandKind::SetEndpointDrain {
+            endpoint: EndpointId(number(id)),
+            drain: true,
+        },
+        ["add", name] => CommandKind::AddEndpoint {
+            endpoint: endpoint(name, 0, 3000),
+        },
+        ["claim", name, digest, claimant] => {
+            // `-N` stands for a key of N bytes.
+            let long = name.strip_prefix('-').map(|n| "k".repeat(number(n)));
+            let key = key(long.as_deref().unwrap_or(name));
+            claim(&key, number(digest), attempt_of(claimant))
+        }
+        [how, name, claimant] => end_claim(how, &key(name), attempt_of(claimant), 3),
+        _ => panic!("{words:?}"),
     }
 }
 
-fn limit(max_in_progress: u32, base: u32) -> CommandKind {
-    CommandKind::SetRegionLimit {
-        region: RegionId(0),
-        max_in_progress,
-        base,
+fn claim_text(outcome: ClaimOutcome) -> String {
+    match outcome {
+        ClaimOutcome::Completed(recorded) => {
+            assert_eq!(recorded, answer(3));
+            "Completed".to_string()
+        }
+        other => format!("{other:?}"),
     }
 }
 
 fn run(case: &Case) {
     let mut replica = Replica::new();
-    for (i, step) in case.steps.iter().enumerate() {
-        let at = format!("step {i} of: {}", case.guards);
-        let (request, kind, expect) = match step {
-            Step::Send(kind, expect) => (format!("request-{i}"), kind, expect),
-            Step::SendAs(request, kind, expect) => (request.to_string(), kind, expect),
-            Step::Wait(ms) => {
-                replica.wait(*ms);
-                continue;
+    let steps = case.steps.iter().flat_map(|line| line.split("; "));
+    for (i, step) in steps.enumerate() {
+        let (step, expect) = step.split_once(" => ").unwrap_or((step, "done"));
+        let words: Vec<&str> = step.split(' ').collect();
+        let seen = match words[..] {
+            ["wait", time] => {
+                replica.wait(ms(time) as u64);
+                "done".to_string()
             }
-            Step::Jump(ms) => {
-                replica.now_ms = replica.now_ms.saturating_add_signed(*ms);
-                continue;
+            ["jump", time] => {
+                replica.now_ms = replica.now_ms.saturating_add_signed(ms(time));
+                "done".to_string()
             }
-            Step::Restart => {
+            ["restart"] => {
                 replica.restart();
-                continue;
+                "done".to_string()
             }
-            Step::Owner(id, owner, epoch, takeover) => {
-                let present = replica.state.config().ownership[*id as usize];
-                let seen = (present.owner, present.epoch, present.takeover);
-                assert_eq!(seen, (owner.map(EntryId), *epoch, *takeover), "{at}");
-                continue;
+            ["owner", id] => {
+                let o = replica.state.config().ownership[number::<usize>(id)];
+                let owner = o.owner.map_or("none".to_string(), |e| e.to_string());
+                format!("{owner} {} {:?}", o.epoch, o.takeover)
             }
-            Step::Lookup(k, expect) => {
-                assert_eq!(replica.state.claim(&key(k)), *expect, "{at}");
-                continue;
+            ["lookup", name] => claim_text(replica.state.claim(&key(name))),
+            _ => {
+                let (request, words) = match words[0].strip_prefix('@') {
+                    Some(id) => (id.to_string(), &words[1..]),
+                    None => (format!("request-{i}"), &words[..]),
+                };
+                match replica.send(&request, command(words)) {
+                    Outcome::Done { .. } => "done".to_string(),
+                    Outcome::Claim(outcome) => claim_text(outcome),
+                    Outcome::Refused {
+                        kind,
+                        current_version,
+                        ..
+                    } => match current_version {
+                        Some(version) => format!("{} {version}", kind.row().name),
+                        None => kind.row().name.to_string(),
+                    },
+                }
             }
         };
-        let outcome = replica.send(&request, kind.clone());
-        match (expect, &outcome) {
-            (Expect::Done, Outcome::Done { .. }) => {}
-            (Expect::Refused(kind), Outcome::Refused { kind: k, .. }) => {
-                assert_eq!(kind, k, "{at}");
-            }
-            (
-                Expect::Conflict(version),
-                Outcome::Refused {
-                    kind: ErrorKind::VersionConflict,
-                    current_version,
-                    ..
-                },
-            ) => assert_eq!(version, current_version, "{at}"),
-            (Expect::Claim(expect), Outcome::Claim(c)) => assert_eq!(expect, c, "{at}"),
-            _ => panic!("{outcome:?} at {at}"),
-        }
+        assert_eq!(seen, expect, "step {i}, {step}, of: {}", case.guards);
     }
 }
 
 #[test]
 fn operator_changes() {
-    use Expect::{Conflict, Done, Refused};
-    use Step::{Restart, Send, SendAs, Wait};
-    let add = CommandKind::AddEndpoint {
-        endpoint: endpoint("x0", 0, 3000),
-    };
     let cases = [
         Case {
             guards: "both of two changes from one version winning, or a resend being lost",
-            steps: vec![
-                SendAs("r1", put("p", 11, 1), Done),
-                SendAs("r2", put("p", 12, 1), Conflict(Some(2))),
-                Restart,
-                SendAs("r1", put("p", 11, 1), Done),
-                SendAs("r2", put("p", 12, 1), Conflict(Some(2))),
-                SendAs(
-                    "r2",
-                    put("p", 13, 2),
-                    Refused(ErrorKind::IdempotencyKeyReused),
-                ),
-                Wait(25 * HOUR_MS),
-                SendAs("r1", put("p", 11, 1), Conflict(Some(2))),
+            steps: &[
+                "@r1 put p 11 1; @r2 put p 12 1 => version-conflict 2; restart",
+                "@r1 put p 11 1; @r2 put p 12 1 => version-conflict 2",
+                "@r2 put p 13 2 => idempotency-key-reused; wait 25h",
+                "@r1 put p 11 1 => version-conflict 2",
             ],
         },
         Case {
             guards: "a version of a deleted profile naming a later profile of the same name",
-            steps: vec![
-                Send(put("n", 1, 0), Done),
-                Send(put("n", 2, 1), Done),
-                Send(delete("n", 1), Conflict(Some(2))),
-                Send(delete("n", 2), Done),
-                Send(delete("n", 2), Refused(ErrorKind::NotFound)),
-                Send(put("n", 3, 2), Conflict(Some(0))),
-                Restart,
-                Send(put("n", 3, 0), Done),
-                Send(put("n", 4, 1), Conflict(Some(3))),
+            steps: &[
+                "put n 1 0; put n 2 1; delete n 1 => version-conflict 2; delete n 2",
+                "delete n 2 => not-found; put n 3 2 => version-conflict 0; restart; put n 3 0",
+                "put n 4 1 => version-conflict 3",
             ],
         },
         Case {
             guards: "a service without a profile, a lost update of an assignment or a limit",
-            steps: vec![
-                Send(delete("p", 1), Refused(ErrorKind::InvalidChange)),
-                Send(assign("none", "p"), Refused(ErrorKind::InvalidChange)),
-                Send(assign("q", "p"), Done),
-                Send(assign("p", "p"), Conflict(None)),
-                Send(delete("p", 1), Done),
-                Send(limit(50, 100), Done),
-                Send(limit(60, 100), Conflict(Some(50))),
+            steps: &[
+                "delete p 1 => invalid-change; assign none p => invalid-change; assign q p",
+                "assign p p => version-conflict; delete p 1; limit 50 100",
+                "limit 60 100 => version-conflict 50",
             ],
         },
         Case {
             guards: "invalid values in the state",
-            steps: vec![
-                Send(put("a b", 1, 0), Refused(ErrorKind::InvalidChange)),
-                SendAs("", put("n", 1, 0), Refused(ErrorKind::BadRequest)),
-                Send(add, Refused(ErrorKind::InvalidChange)),
-                Send(fence("x0", None), Refused(ErrorKind::InvalidChange)),
-                Send(fence("nobody", None), Refused(ErrorKind::NotFound)),
-                Send(join(9, 1), Refused(ErrorKind::NotFound)),
-                Send(release(9, 0, 1), Refused(ErrorKind::NotFound)),
-                Send(
-                    CommandKind::SetEndpointDrain {
-                        endpoint: EndpointId(9),
-                        drain: true,
-                    },
-                    Refused(ErrorKind::NotFound),
-                ),
+            steps: &[
+                "put a/b 1 0 => invalid-change; @ put n 1 0 => bad-request",
+                "add x0 => invalid-change; fence x0 => invalid-change",
+                "fence nobody => not-found; join 9 1 => not-found; release 9 0 1 => not-found",
+                "drain 9 => not-found",
             ],
         },
     ];
@@ -206,87 +176,50 @@
 
 #[test]
 fn ownership() {
-    use Expect::{Conflict, Done, Refused};
-    use Step::{Owner, Restart, Send, SendAs, Wait};
-    use Takeover::{Clean, Quarantine};
     let cases = [
         Case {
             guards: "a live owner losing an endpoint to a later join; a region owning another's",
-            steps: vec![
-                Send(join(2, 1), Done),
-                Owner(0, Some(2), 1, Clean),
-                Owner(3, None, 0, Clean),
-                Send(join(0, 1), Done),
-                Owner(0, Some(2), 1, Clean),
-                Send(release(0, 2, 1), Done),
-                Owner(0, Some(0), 2, Clean),
-                Send(release(0, 2, 1), Conflict(Some(2))),
+            steps: &[
+                "join 2 1; owner 0 => 2 1 Clean; owner 3 => none 0 Clean; join 0 1",
+                "owner 0 => 2 1 Clean; release 0 2 1; owner 0 => 0 2 Clean",
+                "release 0 2 1 => version-conflict 2",
             ],
         },
         Case {
             guards: "a new process taking over its crashed predecessor's endpoints without a wait",
-            steps: vec![
-                Send(join(3, 1), Done),
-                Owner(3, Some(3), 1, Clean),
-                Restart,
-                Send(join(3, 2), Done),
-                Owner(3, Some(3), 2, Quarantine),
-                Send(release(3, 3, 1), Conflict(Some(2))),
-                Send(join(3, 1), Refused(ErrorKind::InvalidChange)),
-                Send(join(3, 2), Done),
-                Owner(3, Some(3), 2, Quarantine),
+            steps: &[
+                "join 3 1; owner 3 => 3 1 Clean; restart; join 3 2; owner 3 => 3 2 Quarantine",
+                "release 3 3 1 => version-conflict 2; join 3 1 => invalid-change; join 3 2",
+                "owner 3 => 3 2 Quarantine",
             ],
         },
         Case {
             guards: "a release during a quarantine making the next ownership clean",
-            steps: vec![
-                Send(join(3, 1), Done),
-                Send(join(3, 2), Done),
-                Wait(MAX_DEADLINE_MS - 1),
-                Send(release(3, 3, 2), Done),
-                Owner(3, Some(3), 3, Quarantine),
-                Wait(MAX_DEADLINE_MS),
-                Send(release(3, 3, 3), Done),
-                Owner(3, Some(3), 4, Clean),
+            steps: &[
+                "join 3 1; join 3 2; wait 29999; release 3 3 2; owner 3 => 3 3 Quarantine",
+                "wait 30000; release 3 3 3; owner 3 => 3 4 Clean",
             ],
         },
         Case {
             guards: "a fence without a successor losing its quarantine",
-            steps: vec![
-                Send(join(3, 1), Done),
-                Send(fence("c0", Some(1)), Done),
-                Owner(3, None, 2, Quarantine),
-                Restart,
-                Send(join(3, 1), Refused(ErrorKind::InvalidChange)),
-                Send(join(3, 2), Done),
-                Owner(3, Some(3), 3, Quarantine),
+            steps: &[
+                "join 3 1; fence c0 1; owner 3 => none 2 Quarantine; restart",
+                "join 3 1 => invalid-change; join 3 2; owner 3 => 3 3 Quarantine",
             ],
         },
         Case {
             guards: "a late or resent fence hitting the process on the replaced VM",
-            steps: vec![
-                Send(join(3, 1), Done),
-                SendAs("f", fence("c0", None), Done),
-                Send(join(3, 2), Done),
-                Owner(3, Some(3), 3, Quarantine),
-                SendAs("f", fence("c0", None), Done),
-                Send(fence("c0", Some(1)), Done),
-                Owner(3, Some(3), 3, Quarantine),
+            steps: &[
+                "join 3 1; @f fence c0; join 3 2; owner 3 => 3 3 Quarantine; @f fence c0",
+                "fence c0 1; owner 3 => 3 3 Quarantine",
             ],
         },
         Case {
             guards: "a leaving process getting endpoints, or joining after its own leave",
-            steps: vec![
-                Send(join(3, 1), Done),
-                Send(leave(3, 1), Done),
-                Owner(3, Some(3), 1, Clean),
-                Send(release(3, 3, 1), Done),
-                Owner(3, None, 2, Clean),
-                Send(join(3, 1), Refused(ErrorKind::InvalidChange)),
-                Send(leave(3, 2), Done),
-                Send(join(3, 2), Refused(ErrorKind::InvalidChange)),
-                Send(join(3, 3), Done),
-                Owner(3, Some(3), 3, Clean),
+            steps: &[
+                "join 3 1; leave 3 1; owner 3 => 3 1 Clean; release 3 3 1",
+                "owner 3 => none 2 Clean; join 3 1 => invalid-change; leave 3 2",
+                "join 3 2 => invalid-change; join 3 3; owner 3 => 3 3 Clean",
             ],
         },
     ];
@@ -295,110 +228,58 @@
 
 #[test]
 fn claims() {
-    use Expect::{Claim, Done, Refused};
-    use Step::{Jump, Lookup, Restart, Send, Wait};
-    let done = || Completed(answer(3));
-    let joined = |steps: Vec<Step>| {
-        let joins = [Send(join(0, 1), Done), Send(join(3, 5), Done)];
-        joins.into_iter().chain(steps).collect()
-    };
     let cases = [
         Case {
             guards: "an action running twice, or another request getting its answer",
-            steps: joined(vec![
-                Send(claim("k", 1, 0, 1, 1), Claim(Granted)),
-                Send(claim("k", 1, 0, 1, 1), Claim(Granted)),
-                Send(claim("k", 1, 3, 5, 1), Claim(InProgress)),
-                Send(claim("k", 2, 3, 5, 1), Claim(BodyMismatch)),
-                Send(complete("k", 3, 5, 1), Refused(ErrorKind::NotFound)),
-                Restart,
-                Send(complete("k", 0, 1, 1), Done),
-                Send(give_up("k", 0, 1, 1), Done),
-                Send(unknown("k", 0, 1, 1), Done),
-                Lookup("k", done()),
-                Send(claim("k", 1, 3, 5, 1), Claim(done())),
-                Lookup("other", NotFound),
-            ]),
+            steps: &[
+                "join 0 1; join 3 5; claim k 1 0/1/1 => Granted; claim k 1 0/1/1 => Granted",
+                "claim k 1 3/5/1 => InProgress; claim k 2 3/5/1 => BodyMismatch",
+                "complete k 3/5/1 => not-found; restart; complete k 0/1/1; give-up k 0/1/1",
+                "unknown k 0/1/1; lookup k => Completed; claim k 1 3/5/1 => Completed",
+                "lookup other => NotFound",
+            ],
         },
         Case {
             guards: "a claim staying granted after its own release, in either order",
-            steps: joined(vec![
-                Send(give_up("k", 0, 1, 1), Done),
-                Restart,
-                Send(
-                    claim("k", 1, 0, 1, 1),
-                    Refused(ErrorKind::DeadlineBeforeDispatch),
-                ),
-                Send(claim("k", 1, 0, 1, 2), Claim(Granted)),
-                Send(give_up("k", 0, 1, 1), Done),
-                Lookup("k", InProgress),
-                Send(give_up("k", 0, 1, 2), Done),
-                Send(
-                    claim("k", 1, 0, 1, 2),
-                    Refused(ErrorKind::DeadlineBeforeDispatch),
-                ),
-                Wait(2 * HOUR_MS),
-                Send(
-                    claim("k", 1, 0, 1, 1),
-                    Refused(ErrorKind::DeadlineBeforeDispatch),
-                ),
-                Send(claim("k", 1, 0, 1, 3), Claim(Granted)),
-            ]),
+            steps: &[
+                "join 0 1; give-up k 0/1/1; restart",
+                "claim k 1 0/1/1 => deadline-before-dispatch; claim k 1 0/1/2 => Granted",
+                "give-up k 0/1/1; lookup k => InProgress; give-up k 0/1/2",
+                "claim k 1 0/1/2 => deadline-before-dispatch; wait 2h",
+                "claim k 1 0/1/1 => deadline-before-dispatch; claim k 1 0/1/3 => Granted",
+            ],
         },
         Case {
             guards: "a claim passing on when its process is lost",
-            steps: joined(vec![
-                Send(claim("k", 1, 0, 1, 1), Claim(Granted)),
-                Send(claim("l", 1, 0, 1, 2), Claim(Granted)),
-                Send(join(0, 2), Done),
-                Lookup("k", Unknown),
-                Send(claim("k", 1, 0, 2, 1), Claim(Unknown)),
-                Send(claim("m", 1, 0, 1, 3), Refused(ErrorKind::Draining)),
-                Send(complete("k", 0, 1, 1), Done),
-                Lookup("k", done()),
-                Send(give_up("l", 0, 1, 2), Done),
-                Send(claim("l", 1, 3, 5, 1), Claim(Granted)),
-                Send(fence("c0", None), Done),
-                Lookup("l", Unknown),
-            ]),
+            steps: &[
+                "join 0 1; join 3 5; claim k 1 0/1/1 => Granted; claim l 1 0/1/2 => Granted",
+                "join 0 2; lookup k => Unknown; claim k 1 0/2/1 => Unknown",
+                "claim m 1 0/1/3 => draining; complete k 0/1/1; lookup k => Completed",
+                "give-up l 0/1/2; claim l 1 3/5/1 => Granted; fence c0; lookup l => Unknown",
+            ],
         },
         Case {
             guards: "an answer or a digest dropped before its time or kept for ever",
-            steps: joined(vec![
-                Send(claim("k", 1, 0, 1, 1), Claim(Granted)),
-                Send(complete("k", 0, 1, 1), Done),
-                Wait(24 * HOUR_MS - 1),
-                Lookup("k", done()),
-                Wait(1),
-                Lookup("k", Unknown),
-                Send(claim("k", 1, 0, 1, 2), Claim(Unknown)),
-                Restart,
-                Wait(90 * 24 * HOUR_MS - 1),
-                Send(claim("k", 1, 0, 1, 2), Claim(Unknown)),
-                Wait(HOUR_MS),
-                Send(claim("k", 1, 0, 1, 3), Claim(Granted)),
-            ]),
+            steps: &[
+                "join 0 1; claim k 1 0/1/1 => Granted; complete k 0/1/1; wait 24h-1",
+                "lookup k => Completed; wait 1; lookup k => Unknown",
+                "claim k 1 0/1/2 => Unknown; restart; wait 2160h-1",
+                "claim k 1 0/1/2 => Unknown; wait 1h; claim k 1 0/1/3 => Granted",
+            ],
         },
         Case {
             guards: "a wrong wall clock of a leader making the state forget claims",
-            steps: joined(vec![
-                Send(claim("k", 1, 0, 1, 1), Claim(Granted)),
-                Jump(400 * 24 * HOUR_MS as i64),
-                Wait(1),
-                Jump(-400 * 24 * HOUR_MS as i64),
-                Wait(1),
-                Lookup("k", InProgress),
-            ]),
+            steps: &[
+                "join 0 1; claim k 1 0/1/1 => Granted; jump 9600h; wait 1; jump -9600h",
+                "wait 1; lookup k => InProgress",
+            ],
         },
         Case {
             guards: "keys outside the limits in the state",
-            steps: joined(vec![
-                Send(claim("", 1, 0, 1, 1), Refused(ErrorKind::BadRequest)),
-                Send(
-                    claim(&"k".repeat(256), 1, 0, 1, 1),
-                    Refused(ErrorKind::BadRequest),
-                ),
-            ]),
+            steps: &[
+                "join 0 1; claim -0 1 0/1/1 => bad-request; claim -256 1 0/1/1 => bad-request",
+                "claim -255 1 0/1/1 => Granted",
+            ],
         },
     ];
     cases.iter().for_each(run);
--- a/crates/state/tests/state/snapshots.rs
+++ b/crates/state/tests/state/snapshots.rs
@@ -7,24 +7,13 @@
     let mut replica = Replica::new();
     replica.send("", join(3, 1));
     replica.send("", join(3, 2));
-    for (i, name) in ["k", "l", "m", "n"].iter().enumerate() {
-        let (key, attempt) = (key(name), attempt(3, 2, i as u64));
-        let digest = [i as u8; 32];
-        let claim = CommandKind::Claim {
-            key: key.clone(),
-            digest,
-            attempt,
-        };
-        replica.send("", claim);
+    let ends = ["give-up", "unknown", "complete", ""];
+    for (i, how) in ends.iter().enumerate() {
+        let (key, attempt) = (key(["k", "l", "m", "n"][i]), attempt(3, 2, i as u64));
+        replica.send("", claim(&key, i as u8, attempt));
         let end = match i {
-            0 => CommandKind::ReleaseClaim { key, attempt },
-            1 => CommandKind::MarkClaimUnknown { key, attempt },
-            2 => CommandKind::CompleteClaim {
-                key,
-                attempt,
-                answer: answer(3),
-            },
-            _ => CommandKind::Expire,
+            3 => CommandKind::Expire,
+            _ => end_claim(how, &key, attempt, 3),
         };
         replica.send("", end);
     }
--- a/crates/state/tests/state/support.rs
+++ b/crates/state/tests/state/support.rs
@@ -156,6 +156,29 @@
     }
 }
 
+pub fn claim(key: &ClaimKey, digest: u8, attempt: Attempt) -> CommandKind {
+    CommandKind::Claim {
+        key: key.clone(),
+        digest: [digest; 32],
+        attempt,
+    }
+}
+
+/// Ends a claim by completing it (with a body of some bytes), giving it up or marking it unknown.
+pub fn end_claim(how: &str, key: &ClaimKey, attempt: Attempt, body: usize) -> CommandKind {
+    let (key, answer) = (key.clone(), answer(body));
+    match how {
+        "complete" => CommandKind::CompleteClaim {
+            key,
+            attempt,
+            answer,
+        },
+        "give-up" => CommandKind::ReleaseClaim { key, attempt },
+        "unknown" => CommandKind::MarkClaimUnknown { key, attempt },
+        _ => panic!("{how}"),
+    }
+}
+
 /// A state with the next log index and the wall clock of its leader.
 pub struct Replica {
     pub state: State,
