--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 //! - Each answer carries how long ago the state was known to be current, computed at the time of
 //!   the answer.
 
+pub mod admin;
 mod audit_export;
 mod disk;
 mod http;
--- /dev/null
+++ b/crates/control/tests/admin/backend.rs
@@ -0,0 +1,124 @@
+use crate::support::{attempt, bootstrap, claim, end_claim, join, key};
+use futures::future::LocalBoxFuture;
+use mangospindle_control::admin::{
+    AdminBackend, EndpointProgress, EntryReport, ReplicaReport, ReplicaRole, StatusReport,
+};
+use mangospindle_http::Problem;
+use mangospindle_model::ErrorKind;
+use mangospindle_state::{
+    Actor, AuditPage, ClaimKey, ClaimOutcome, Command, CommandKind, Config, Outcome, RequestId,
+    State,
+};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// A backend on a bare state machine, in the place of a control replica.
+#[derive(Default)]
+pub struct StateBackend {
+    inner: Mutex<(State, u64)>,
+    /// Answers that are lost after their command was applied.
+    pub answers_to_lose: Mutex<u32>,
+}
+
+impl StateBackend {
+    /// Entry a0 has joined as process 0xab and owns x0 and x1; the action with the key `k/1%` of
+    /// service s is completed.
+    pub fn new() -> Self {
+        let backend = StateBackend::default();
+        let (key, attempt) = (key("k/1%"), attempt(0, 0xab, 1));
+        let kinds = [
+            bootstrap(),
+            join(0, 0xab),
+            claim(&key, 1, attempt),
+            end_claim("complete", &key, attempt, 5),
+        ];
+        kinds.into_iter().for_each(|kind| backend.apply_kind(kind));
+        backend
+    }
+
+    fn apply_kind(&self, kind: CommandKind) {
+        self.apply(Command {
+            request: RequestId(String::new()),
+            actor: Actor::Process("test".to_string()),
+            leader_time_ms: 1,
+            kind,
+        });
+    }
+
+    fn apply(&self, command: Command) -> Outcome {
+        let mut inner = self.inner.lock().unwrap();
+        inner.1 += 1;
+        let index = inner.1;
+        inner.0.apply(index, &command)
+    }
+
+    fn read<R>(&self, read: impl FnOnce(&State) -> R) -> LocalBoxFuture<'static, Result<R, Problem>>
+    where
+        R: 'static,
+    {
+        let result = read(&self.inner.lock().unwrap().0);
+        Box::pin(async { Ok(result) })
+    }
+}
+
+impl AdminBackend for StateBackend {
+    fn propose(&self, command: Command) -> LocalBoxFuture<'static, Result<Outcome, Problem>> {
+        let outcome = self.apply(command);
+        let mut lost = self.answers_to_lose.lock().unwrap();
+        let result = match *lost {
+            0 => Ok(outcome),
+            _ => Err(Problem::from(ErrorKind::OutcomeUnknown)),
+        };
+        *lost = lost.saturating_sub(1);
+        Box::pin(async { result })
+    }
+
+    fn config(&self) -> LocalBoxFuture<'static, Result<Arc<Config>, Problem>> {
+        self.read(|state| Arc::new(state.config().clone()))
+    }
+
+    fn audit(
+        &self,
+        after: u64,
+        limit: usize,
+    ) -> LocalBoxFuture<'static, Result<AuditPage, Problem>> {
+        self.read(|state| state.audit(after, limit))
+    }
+
+    fn status(&self) -> LocalBoxFuture<'static, Result<StatusReport, Problem>> {
+        self.read(|state| StatusReport {
+            replica: "c1".to_string(),
+            ready: false,
+            leader: None,
+            term: 3,
+            commit_index: state.applied_index(),
+            applied_index: state.applied_index(),
+            version: state.config().version,
+            confirmation_age: Some(Duration::from_millis(40)),
+            replicas: vec![ReplicaReport {
+                name: "c1".to_string(),
+                role: ReplicaRole::Follower,
+                match_index: None,
+                last_heard: None,
+            }],
+            entries: vec![EntryReport {
+                name: "a0".to_string(),
+                applied_version: Some(2),
+                last_heard: Some(Duration::from_millis(10)),
+            }],
+            drains: vec![EndpointProgress {
+                name: "x0".to_string(),
+                in_progress: Some(2),
+                drain_time: None,
+            }],
+        })
+    }
+
+    fn claim(&self, key: ClaimKey) -> LocalBoxFuture<'static, Result<ClaimOutcome, Problem>> {
+        self.read(|state| state.claim(&key))
+    }
+
+    fn metrics(&self) -> String {
+        "mangospindle_up 1\n".to_string()
+    }
+}
