Serve the administration API from the replica, test a failed disk

Cause: the administration API reached no replica, and nothing showed what happens when the disk of a leader fails.

ReplicaBackend connects the API's thread with the actor. Reads of the configuration wait for a confirmation that began after the call, like questions about claims.

Ruled out: serving the API on the actor's thread, where a large answer would delay heartbeats; trying to write again after an error.

--- /dev/null
+++ b/crates/control/src/backend.rs
@@ -0,0 +1,100 @@
+use crate::admin::{AdminBackend, StatusReport};
+use crate::replica::Replica;
+use crate::replica::messages::{Ask, GetAudit, GetStatus, Propose};
+use crate::replica::queries::Question;
+use actix::Addr;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use mangospindle_http::Problem;
+use mangospindle_model::ErrorKind;
+use mangospindle_rpc::{MAX_COMMAND_BYTES, ProposeResult, QueryResult};
+use mangospindle_state::{AuditPage, ClaimKey, ClaimOutcome, Command, Config, Outcome};
+use mangospindle_telemetry::metrics_text;
+use prometheus::Registry;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Longest wait for the outcome of a change; longer than a forwarded proposal takes.
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Connects the administration API, which runs on its own thread, with the replica actor.
+pub(crate) struct ReplicaBackend {
+    pub(crate) replica: Addr<Replica>,
+    pub(crate) registry: Registry,
+}
+
+fn unconfirmed() -> Problem {
+    let detail = "this replica could not confirm its state with a majority";
+    Problem::new(ErrorKind::NoQuorum, detail)
+}
+
+fn stopped<E>(_: E) -> Problem {
+    Problem::new(ErrorKind::NoQuorum, "this replica is stopping")
+}
+
+impl AdminBackend for ReplicaBackend {
+    fn propose(&self, command: Command) -> LocalBoxFuture<'static, Result<Outcome, Problem>> {
+        let refused = |detail: &str| Err(Problem::new(ErrorKind::NoQuorum, detail));
+        let command = match postcard::to_stdvec(&command) {
+            Ok(command) if command.len() <= MAX_COMMAND_BYTES => command,
+            Ok(_) | Err(_) => {
+                let problem = Problem::new(ErrorKind::InvalidChange, "the change is too large");
+                return futures::future::ready(Err(problem)).boxed_local();
+            }
+        };
+        let (reply, result) = oneshot::channel();
+        self.replica.do_send(Propose {
+            command,
+            forwarded: false,
+            reply,
+        });
+        async move {
+            match tokio::time::timeout(PROPOSE_TIMEOUT, result).await {
+                Ok(Ok(ProposeResult::Outcome(outcome))) => Ok(outcome),
+                Ok(Ok(ProposeResult::NotAccepted)) => refused("the change is in no log"),
+                Ok(Ok(ProposeResult::Unknown) | Err(_)) | Err(_) => Err(Problem::new(
+                    ErrorKind::OutcomeUnknown,
+                    "the change may have been accepted",
+                )),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn config(&self) -> LocalBoxFuture<'static, Result<Arc<Config>, Problem>> {
+        let (reply, config) = oneshot::channel();
+        self.replica.do_send(Ask(Question::Config(reply)));
+        async move { config.await.map_err(stopped)?.ok_or_else(unconfirmed) }.boxed_local()
+    }
+
+    fn audit(
+        &self,
+        after: u64,
+        limit: usize,
+    ) -> LocalBoxFuture<'static, Result<AuditPage, Problem>> {
+        let page = self.replica.send(GetAudit { after, limit });
+        page.map(|page| page.map_err(stopped)).boxed_local()
+    }
+
+    fn status(&self) -> LocalBoxFuture<'static, Result<StatusReport, Problem>> {
+        let status = self.replica.send(GetStatus);
+        status.map(|status| status.map_err(stopped)).boxed_local()
+    }
+
+    fn claim(&self, key: ClaimKey) -> LocalBoxFuture<'static, Result<ClaimOutcome, Problem>> {
+        let (reply, result) = oneshot::channel();
+        self.replica.do_send(Ask(Question::Claim(key, reply)));
+        async move {
+            match result.await.map_err(stopped)? {
+                QueryResult::Answer(outcome) => Ok(outcome),
+                QueryResult::Unconfirmed => Err(unconfirmed()),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn metrics(&self) -> String {
+        metrics_text(&self.registry).unwrap_or_default()
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,7 +12,9 @@
 
 pub mod admin;
 mod audit_export;
+mod backend;
 mod disk;
+mod health;
 mod http;
 mod limits;
 mod metrics;
@@ -20,13 +22,11 @@
 mod replica;
 mod run;
 mod service;
-mod status;
 mod vm_list;
 mod vm_tracker;
 mod wall_clock;
 
 pub use run::run;
-pub use status::{Health, ReplicaStatus};
 pub use vm_tracker::{
     ABSENT_ANSWERS, ABSENT_TIME, ListedVm, MIN_SHARE_PERCENT, VmList, VmState, VmTracker,
 };
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -1,6 +1,6 @@
 use crate::disk::Synced;
+use crate::health::Health;
 use crate::published::Published;
-use crate::status::Health;
 use mangospindle_consensus::{Node, ProposalError, Role};
 use mangospindle_rpc::{LinkCounters, ProposeResult};
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
@@ -145,7 +145,7 @@
     }
 
     pub(crate) fn observe(&self, node: &Node, published: &Published, applied: u64, now: Duration) {
-        let role = match node.role() {
+        let role = match published.role.get() {
             Role::Learner => 0,
             Role::Follower => 1,
             Role::PreCandidate => 2,
@@ -154,11 +154,10 @@
         };
         let age = published.confirmed_age(now);
         self.role.set(role);
-        self.has_leader.set(node.leader().is_some().into());
-        let cut_off = published.cut_off(now);
-        self.cut_off.set(cut_off.into());
+        self.has_leader.set(published.leader.get().is_some().into());
+        self.cut_off.set(published.cut_off(now).into());
         self.lagging
-            .set((Health::read(node, cut_off) == Health::Lagging).into());
+            .set((Health::read(published, now) == Health::Lagging).into());
         self.term.set(node.term() as i64);
         self.commit_index.set(node.commit_index() as i64);
         self.applied_index.set(applied as i64);
--- a/crates/control/src/published.rs
+++ b/crates/control/src/published.rs
@@ -1,7 +1,9 @@
 use mangospindle_consensus::{Member, Role};
-use mangospindle_rpc::CUT_OFF_AGE;
+use mangospindle_model::EntryId;
+use mangospindle_rpc::{CUT_OFF_AGE, EntryReport};
 use mangospindle_state::{EntryStatus, State};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -22,6 +24,8 @@
     pub(crate) version: watch::Sender<(u64, u64)>,
     /// Watches that are held open.
     pub(crate) watches: Cell<usize>,
+    /// Version and time of the latest watch of each entry.
+    pub(crate) entries: RefCell<BTreeMap<EntryId, (u64, Duration)>>,
 }
 
 impl Published {
@@ -35,6 +39,7 @@
             withdrawn: Cell::new(false),
             version: watch::Sender::new((version, 0)),
             watches: Cell::new(0),
+            entries: RefCell::default(),
         })
     }
 
@@ -48,6 +53,12 @@
         self.withdrawn.get() || self.confirmed_age(now).is_none_or(|age| age > CUT_OFF_AGE)
     }
 
+    /// Notes a watch of an entry.
+    pub(crate) fn heard_entry(&self, report: EntryReport, known_version: u64, now: Duration) {
+        let mut entries = self.entries.borrow_mut();
+        entries.insert(report.entry, (known_version, now));
+    }
+
     /// The process that runs on the VM of an entry, by the name of the VM.
     pub(crate) fn incarnation(&self, vm: &str) -> Option<u64> {
         let state = self.state.borrow();
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -7,7 +7,8 @@
 mod handlers;
 pub(crate) mod messages;
 mod proposals;
-mod queries;
+pub(crate) mod queries;
+mod report;
 mod stop;
 
 use crate::audit_export::AuditExport;
--- a/crates/control/src/replica/drive.rs
+++ b/crates/control/src/replica/drive.rs
@@ -1,7 +1,7 @@
 //! Steps of the consensus node and its outputs.
 
 use super::messages::Flush;
-use super::{Phase, Replica};
+use super::{Parts, Phase, Replica};
 use crate::disk::DiskJob;
 use actix::{AsyncContext, Context};
 use mangospindle_consensus::{Input, Message, Output, Role};
@@ -25,14 +25,16 @@
         self.flush_scheduled = false;
         let inputs = std::mem::take(&mut self.inputs);
         if self.phase == Phase::DiskFailed {
-            let now = self.now();
-            self.queries
-                .answer(&self.parts.published.state.borrow(), None, now);
+            self.queries.abandon();
+            self.observe();
             return;
         }
         let now = self.now();
         let outputs = self.parts.node.step_all(now, inputs);
         self.handle_outputs(outputs);
+        if self.phase == Phase::DiskFailed {
+            return;
+        }
         self.publish();
         self.export_audit();
         self.maybe_compact(cx);
@@ -119,8 +121,16 @@
         published.publish_version();
         self.queries
             .answer(&published.state.borrow(), published.confirmed_at.get(), now);
-        self.parts
-            .metrics
-            .observe(node, published, self.applied.0, now);
+        self.observe();
+    }
+
+    fn observe(&self) {
+        let Parts {
+            node,
+            published,
+            metrics,
+            ..
+        } = &self.parts;
+        metrics.observe(node, published, self.applied.0, self.now());
     }
 }
--- a/crates/control/src/replica/handlers.rs
+++ b/crates/control/src/replica/handlers.rs
@@ -1,8 +1,7 @@
 //! Handlers of the actor's messages.
 
-use super::messages::{Deliver, DiskDone, Flush, GetStatus, Propose, QueryClaim, VmsGone};
-use super::{Parts, Phase, Replica};
-use crate::status::{Health, ReplicaStatus};
+use super::messages::{Ask, Deliver, DiskDone, Flush, GetAudit, GetStatus, Propose, VmsGone};
+use super::{Phase, Replica};
 use actix::{ActorFutureExt, AsyncContext, Context, Handler, MessageResult, WrapFuture};
 use mangospindle_consensus::{Input, Role};
 use mangospindle_rpc::ProposeResult;
@@ -46,35 +45,29 @@
     }
 }
 
-impl Handler<GetStatus> for Replica {
-    type Result = MessageResult<GetStatus>;
+impl Handler<Ask> for Replica {
+    type Result = ();
 
-    fn handle(&mut self, _: GetStatus, _: &mut Context<Self>) -> Self::Result {
-        let withdrawn = match self.phase {
-            Phase::Running => None,
-            Phase::Stopping { .. } => Some(Health::Stopping),
-            Phase::DiskFailed => Some(Health::DiskFailed),
-        };
-        let Parts {
-            node, published, ..
-        } = &self.parts;
+    fn handle(&mut self, message: Ask, _: &mut Context<Self>) {
         let now = self.now();
-        MessageResult(ReplicaStatus::read(
-            node,
-            published,
-            self.applied.0,
-            withdrawn,
-            now,
-        ))
+        self.queries.add(now, message.0);
     }
 }
 
-impl Handler<QueryClaim> for Replica {
-    type Result = ();
+impl Handler<GetAudit> for Replica {
+    type Result = MessageResult<GetAudit>;
 
-    fn handle(&mut self, message: QueryClaim, _: &mut Context<Self>) {
-        let now = self.now();
-        self.queries.add(now, message.key, message.reply);
+    fn handle(&mut self, message: GetAudit, _: &mut Context<Self>) -> Self::Result {
+        let state = self.parts.published.state.borrow();
+        MessageResult(state.audit(message.after, message.limit))
+    }
+}
+
+impl Handler<GetStatus> for Replica {
+    type Result = MessageResult<GetStatus>;
+
+    fn handle(&mut self, _: GetStatus, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.status())
     }
 }
 
@@ -193,7 +186,10 @@
             return;
         }
         self.phase = Phase::DiskFailed;
-        self.parts.published.withdraw();
+        let published = &self.parts.published;
+        published.role.set(Role::Learner);
+        published.leader.set(None);
+        published.withdraw();
         self.parts.metrics.disk_failed.set(1);
         let unknown = self.proposals.abandon();
         self.queries.abandon();
--- a/crates/control/src/replica/messages.rs
+++ b/crates/control/src/replica/messages.rs
@@ -1,10 +1,11 @@
 //! Messages of the replica actor.
 
+use super::queries::Question;
+use crate::admin::StatusReport;
 use crate::disk::{DiskError, Synced};
-use crate::status::ReplicaStatus;
 use mangospindle_consensus::Message;
-use mangospindle_rpc::{ProposeResult, QueryResult};
-use mangospindle_state::ClaimKey;
+use mangospindle_rpc::ProposeResult;
+use mangospindle_state::AuditPage;
 use std::collections::BTreeMap;
 use tokio::sync::oneshot;
 
@@ -23,12 +24,17 @@
     pub(crate) reply: oneshot::Sender<ProposeResult>,
 }
 
-/// A question about an at-most-once action.
+/// A question that is answered from a confirmed state.
 #[derive(actix::Message)]
 #[rtype(result = "()")]
-pub(crate) struct QueryClaim {
-    pub(crate) key: ClaimKey,
-    pub(crate) reply: oneshot::Sender<QueryResult>,
+pub(crate) struct Ask(pub(crate) Question);
+
+/// Reads audit records after a sequence number, as this replica has them.
+#[derive(actix::Message)]
+#[rtype(result = "AuditPage")]
+pub(crate) struct GetAudit {
+    pub(crate) after: u64,
+    pub(crate) limit: usize,
 }
 
 /// VMs that the platform's list has dropped, with the processes that ran on them.
@@ -53,5 +59,5 @@
 
 /// Reads the status.
 #[derive(actix::Message)]
-#[rtype(result = "ReplicaStatus")]
+#[rtype(result = "StatusReport")]
 pub(crate) struct GetStatus;
--- a/crates/control/src/replica/queries.rs
+++ b/crates/control/src/replica/queries.rs
@@ -1,14 +1,15 @@
 use crate::limits::{MAX_PENDING_QUERIES, QUERY_TIMEOUT};
 use mangospindle_rpc::QueryResult;
-use mangospindle_state::{ClaimKey, State};
+use mangospindle_state::{ClaimKey, Config, State};
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Questions about claims that wait until the state is confirmed as current.
+/// Questions that wait until the state is confirmed as current.
 ///
 /// A question is answered once a majority has confirmed the state after the question arrived, so
-/// that the answer includes every claim that was accepted before.
+/// that the answer includes everything that was accepted before.
 #[derive(Debug, Default)]
 pub(crate) struct Queries {
     waiting: VecDeque<Query>,
@@ -17,25 +18,50 @@
 #[derive(Debug)]
 struct Query {
     arrived: Duration,
-    key: ClaimKey,
-    reply: oneshot::Sender<QueryResult>,
+    question: Question,
+}
+
+/// What is asked, and where the answer goes. The caller may be gone by then.
+#[derive(Debug)]
+pub(crate) enum Question {
+    /// The state of an at-most-once action.
+    Claim(ClaimKey, oneshot::Sender<QueryResult>),
+    /// The configuration; `None` if it could not be confirmed.
+    Config(oneshot::Sender<Option<Arc<Config>>>),
+}
+
+impl Question {
+    fn answer(self, state: &State) {
+        match self {
+            Question::Claim(key, reply) => {
+                let _ = reply.send(QueryResult::Answer(state.claim(&key)));
+            }
+            Question::Config(reply) => {
+                let _ = reply.send(Some(Arc::new(state.config().clone())));
+            }
+        }
+    }
+
+    fn refuse(self) {
+        match self {
+            Question::Claim(_, reply) => {
+                let _ = reply.send(QueryResult::Unconfirmed);
+            }
+            Question::Config(reply) => {
+                let _ = reply.send(None);
+            }
+        }
+    }
 }
 
 impl Queries {
-    pub(crate) fn add(
-        &mut self,
-        now: Duration,
-        key: ClaimKey,
-        reply: oneshot::Sender<QueryResult>,
-    ) {
+    pub(crate) fn add(&mut self, now: Duration, question: Question) {
         match self.waiting.len() < MAX_PENDING_QUERIES {
             true => self.waiting.push_back(Query {
                 arrived: now,
-                key,
-                reply,
+                question,
             }),
-            // The caller may be gone.
-            false => drop(reply.send(QueryResult::Unconfirmed)),
+            false => question.refuse(),
         }
     }
 
@@ -47,12 +73,10 @@
                 return;
             }
             if let Some(query) = self.waiting.pop_front() {
-                let result = match confirmed {
-                    true => QueryResult::Answer(state.claim(&query.key)),
-                    false => QueryResult::Unconfirmed,
-                };
-                // The caller may be gone.
-                let _ = query.reply.send(result);
+                match confirmed {
+                    true => query.question.answer(state),
+                    false => query.question.refuse(),
+                }
             }
         }
     }
@@ -60,8 +84,7 @@
     /// Refuses all questions.
     pub(crate) fn abandon(&mut self) {
         for query in self.waiting.drain(..) {
-            // The caller may be gone.
-            let _ = query.reply.send(QueryResult::Unconfirmed);
+            query.question.refuse();
         }
     }
 }
--- /dev/null
+++ b/crates/control/src/replica/report.rs
@@ -0,0 +1,73 @@
+//! The status report.
+
+use super::{Phase, Replica};
+use crate::admin::{EntryReport, ReplicaReport, ReplicaRole, StatusReport};
+use mangospindle_consensus::{ReplicaId, Role};
+
+fn name(replica: ReplicaId) -> String {
+    format!("control-{}", replica.0)
+}
+
+impl Replica {
+    pub(super) fn status(&self) -> StatusReport {
+        let now = self.now();
+        let node = &self.parts.node;
+        let published = &self.parts.published;
+        let state = published.state.borrow();
+        let topology = &state.config().topology;
+        let entries = (published.entries.borrow().iter())
+            .filter_map(|(entry, (version, at))| {
+                Some(EntryReport {
+                    name: topology.entries.get(entry.index())?.name.clone(),
+                    applied_version: Some(*version),
+                    last_heard: Some(now.saturating_sub(*at)),
+                })
+            })
+            .collect();
+        StatusReport {
+            replica: name(node.member().replica),
+            ready: self.phase == Phase::Running && !published.cut_off(now),
+            leader: published.leader.get().map(|l| name(l.replica)),
+            term: node.term(),
+            commit_index: node.commit_index(),
+            applied_index: self.applied.0,
+            version: state.config().version,
+            confirmation_age: published.confirmed_age(now),
+            replicas: (self.parts.settings.replicas.iter())
+                .map(|r| self.replica_report(ReplicaId(r.replica)))
+                .collect(),
+            entries,
+            drains: Vec::new(),
+        }
+    }
+
+    /// What this replica knows of a replica. Only the own role and the leader are known for sure.
+    fn replica_report(&self, replica: ReplicaId) -> ReplicaReport {
+        let node = &self.parts.node;
+        let own = replica == node.member().replica;
+        let mut learners = node.membership().learners.iter();
+        let role = match self.parts.published.role.get() {
+            Role::Leader if own => ReplicaRole::Leader,
+            Role::Follower if own => ReplicaRole::Follower,
+            Role::Candidate | Role::PreCandidate if own => ReplicaRole::Candidate,
+            Role::Learner if own => ReplicaRole::Learner,
+            _ if self
+                .parts
+                .published
+                .leader
+                .get()
+                .is_some_and(|l| l.replica == replica) =>
+            {
+                ReplicaRole::Leader
+            }
+            _ if learners.any(|l| l.replica == replica) => ReplicaRole::Learner,
+            _ => ReplicaRole::Unknown,
+        };
+        ReplicaReport {
+            name: name(replica),
+            role,
+            match_index: own.then(|| node.last_index()),
+            last_heard: None,
+        }
+    }
+}
--- a/crates/control/src/replica/stop.rs
+++ b/crates/control/src/replica/stop.rs
@@ -57,7 +57,7 @@
         if let Some(exit) = self.exit.take() {
             self.proposals.abandon();
             self.queries.abandon();
-            event!(Info, "stopped", "handed_over" => !leads);
+            event!(Info, "stopped", "still_leads" => leads);
             // The receiver waits until the process exits.
             let _ = exit.send(());
         }
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -1,4 +1,6 @@
+use crate::admin::{Role, Tokens};
 use crate::audit_export::AuditExport;
+use crate::backend::ReplicaBackend;
 use crate::disk::Disk;
 use crate::http::start_http;
 use crate::limits::KEEP_ENTRIES;
@@ -13,7 +15,7 @@
 use mangospindle_consensus::{Member, Node, NodeSettings, ReplicaId, Timing};
 use mangospindle_model::{Clock, MonotonicClock};
 use mangospindle_rpc::{LinkCounters, PeerLink, serve};
-use mangospindle_settings::ControlSettings;
+use mangospindle_settings::{ControlSettings, TokenRole};
 use mangospindle_state::State;
 use mangospindle_storage::{Wal, WalOptions};
 use mangospindle_telemetry::event;
@@ -37,6 +39,7 @@
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
 
+    let tokens = tokens(&settings)?;
     std::fs::create_dir_all(&settings.data_dir)
         .into_diagnostic()
         .wrap_err("cannot create the data directory")?;
@@ -114,7 +117,11 @@
     };
     cx.run(Replica::new(parts));
 
-    start_http(settings.admin_listen, registry, replica.clone())
+    let backend = Arc::new(ReplicaBackend {
+        replica: replica.clone(),
+        registry,
+    });
+    start_http(settings.admin_listen, backend, tokens)
         .into_diagnostic()
         .wrap_err("cannot open the administration listener")?;
     let service = Rc::new(ReplicaService {
@@ -143,3 +150,19 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     Ok(())
 }
+
+/// Tokens of the administration API.
+fn tokens(settings: &ControlSettings) -> Result<Tokens> {
+    let mut tokens = Tokens::default();
+    for token in &settings.tokens {
+        let role = match token.role {
+            TokenRole::Viewer => Role::Viewer,
+            TokenRole::Operator => Role::Operator,
+            TokenRole::Owner => Role::Owner,
+        };
+        let added = tokens.add(&token.name, role, &token.sha256);
+        added.into_diagnostic()?;
+    }
+    (tokens.check_listener(settings.admin_listen)).into_diagnostic()?;
+    Ok(tokens)
+}
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,6 +1,7 @@
 use crate::published::Published;
 use crate::replica::Replica;
-use crate::replica::messages::{Deliver, Propose, QueryClaim};
+use crate::replica::messages::{Ask, Deliver, Propose};
+use crate::replica::queries::Question;
 use actix::Addr;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
@@ -45,6 +46,9 @@
         async move {
             let published = &open.0;
             let arrived = clock.now();
+            if let Some(report) = request.entry {
+                published.heard_entry(report, request.known_version, arrived);
+            }
             let mut version = published.version.subscribe();
             let start = *version.borrow_and_update();
             if start.0 <= request.known_version && !published.cut_off(arrived) {
@@ -74,7 +78,7 @@
 
     fn query_claim(&self, key: ClaimKey) -> LocalBoxFuture<'static, QueryResult> {
         let (reply, result) = oneshot::channel();
-        self.replica.do_send(QueryClaim { key, reply });
+        self.replica.do_send(Ask(Question::Claim(key, reply)));
         async move { result.await.unwrap_or(QueryResult::Unconfirmed) }.boxed_local()
     }
 
--- a/crates/control/tests/replicas.rs
+++ b/crates/control/tests/replicas.rs
@@ -302,3 +302,38 @@
         }
     });
 }
+
+/// Guards against a replica that goes on leading or accepting after its disk has failed, and
+/// against accepted changes that were not written.
+#[test]
+fn a_failed_disk_ends_the_part_of_the_replica() {
+    run(async {
+        let mut replicas = Replicas::start(3).await;
+        let client = replicas.client(&replicas.all());
+        commit_changes(&client, 1..11).await;
+        let failing = replicas.leader().await;
+        // The next snapshot goes to a device that is always full.
+        let temporary = replicas.data_dir(failing).join("temporary");
+        std::os::unix::fs::symlink("/dev/full", temporary).unwrap();
+        let version = commit_changes(&client, 11..400).await;
+        replicas
+            .wait_metric(failing, "disk_failed", |f| f == 1.0)
+            .await;
+        replicas.wait_metric(failing, "cut_off", |c| c == 1.0).await;
+        assert!(replicas.log(failing).contains("disk_failed"));
+        let at_failed = replicas.client(&[failing]);
+        let time = Duration::from_secs(1);
+        assert_eq!(
+            at_failed.propose(&change(400), time).await,
+            ProposeResult::NotAccepted
+        );
+        assert_eq!(
+            at_failed.query_claim(&key(1), time).await,
+            QueryResult::Unconfirmed
+        );
+        assert_ne!(replicas.leader().await, failing);
+        replicas.kill(failing);
+        replicas.start_replica(failing);
+        wait_version(&replicas.client(&[failing]), version).await;
+    });
+}
