--- a/crates/rpc/src/rpc_error.rs
+++ b/crates/rpc/src/rpc_error.rs
@@ -12,6 +12,9 @@
     /// The answer did not arrive in time.
     #[error("no answer in time")]
     Timeout,
+    /// The replica could not confirm its state with a majority.
+    #[error("the replica is cut off")]
+    CutOff,
     /// The other side sent something that is not valid.
     #[error("invalid message: {0}")]
     Invalid(String),
--- a/crates/rpc/src/watch_loop.rs
+++ b/crates/rpc/src/watch_loop.rs
@@ -4,6 +4,7 @@
 use crate::limits::{CLIENT_SILENCE, CUT_OFF_AGE, MAX_HOLD};
 use crate::{RpcError, WatchContent, WatchReply, WatchRequest};
 use mangospindle_state::Config;
+use rand::Rng;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,19 @@
 /// Assumed bound on the drift between the clocks of two processes: one part in this many.
 const DRIFT_PARTS: u32 = 100;
 
+/// Time after which a client that uses another replica than the nearest tries the nearest again,
+/// between half and all of it. Short enough that a restart of a replica does not leave its callers
+/// with the longer way for long, long enough that a dead nearest replica costs little.
+const RETURN_TO_NEAREST: Duration = Duration::from_secs(60);
+
+/// Why a connection is left.
+enum Left {
+    /// The replica is of no use.
+    Failed(RpcError),
+    /// It is time to try the nearest replica again.
+    Return,
+}
+
 /// Keeps one watch open and moves from replica to replica.
 pub(crate) async fn watch_loop(inner: Rc<Inner>) {
     let liveness = Liveness {
@@ -23,21 +37,28 @@
     let mut backoff = Backoff::new(RETRY.0, RETRY.1);
     let mut next = 0;
     loop {
+        let nearest = next % inner.replicas.len() == 0;
         let address = inner.replicas[next % inner.replicas.len()];
         let clock = Arc::clone(&inner.clock);
         let counters = inner.counters.clone();
-        let error = match Connection::open(address, clock, counters, liveness).await {
+        let left = match Connection::open(address, clock, counters, liveness).await {
             Ok(connection) => {
-                let error = watch_connection(&inner, Rc::new(connection), &mut backoff).await;
+                let connection = Rc::new(connection);
+                let left = watch_connection(&inner, connection, &mut backoff, nearest).await;
                 inner.connection.send_replace(None);
                 inner.view.send_modify(|view| view.replica = None);
-                error
+                left
             }
-            Err(e) => e,
+            Err(e) => Left::Failed(e),
         };
-        log::info!("moving on from control replica {address}: {error}");
-        next += 1;
-        tokio::time::sleep(backoff.next()).await;
+        match left {
+            Left::Failed(e) => {
+                log::info!("moving on from control replica {address}: {e}");
+                next += 1;
+                tokio::time::sleep(backoff.next()).await;
+            }
+            Left::Return => next = 0,
+        }
     }
 }
 
@@ -46,7 +67,10 @@
     inner: &Rc<Inner>,
     connection: Rc<Connection>,
     backoff: &mut Backoff,
-) -> RpcError {
+    nearest: bool,
+) -> Left {
+    let opened_at = inner.clock.now();
+    let return_after = RETURN_TO_NEAREST.mul_f64(rand::rng().random_range(0.5..1.0));
     // The first watch of a connection is answered at once: the state may have been unconfirmed for
     // as long as the silence bound.
     let mut hold = Duration::ZERO;
@@ -60,14 +84,17 @@
         let sent_at = inner.clock.now();
         let reply = match watch_once(&connection, &request).await {
             Ok(reply) => reply,
-            Err(e) => return e,
+            Err(e) => return Left::Failed(e),
         };
         let cut_off = reply.cut_off || reply.confirmed_age.is_none_or(|age| age > CUT_OFF_AGE);
         if let Err(e) = present(inner, &reply, sent_at, &connection, cut_off) {
-            return e;
+            return Left::Failed(e);
         }
         if cut_off {
-            return RpcError::Invalid("the replica is cut off".to_string());
+            return Left::Failed(RpcError::CutOff);
+        }
+        if !nearest && inner.clock.now() >= opened_at + return_after {
+            return Left::Return;
         }
         backoff.reset();
         hold = MAX_HOLD;
