--- a/crates/control/tests/measure.rs
+++ b/crates/control/tests/measure.rs
@@ -10,22 +10,15 @@
 #[path = "support/replicas.rs"]
 mod replicas;
 
-use commands::{change, claim};
-use mangospindle_rpc::{ControlClient, ProposeResult};
-use replicas::{LIMIT, Replicas};
+use commands::claim;
+use mangospindle_rpc::ProposeResult;
+use replicas::{LIMIT, Replicas, commit_changes, run};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-fn run<F>(test: F)
-where
-    F: Future<Output = ()>,
-{
-    actix_rt::System::new().block_on(test);
-}
-
 /// p50, p99 and the largest.
 fn quantiles(values: &mut [Duration]) -> String {
     values.sort_unstable();
@@ -33,16 +26,6 @@
     format!("p50 {:?}, p99 {:?}, max {:?}", at(0.5), at(0.99), at(1.0))
 }
 
-async fn changes(client: &ControlClient, numbers: std::ops::Range<u64>) {
-    for number in numbers {
-        // A resend of the same request gets the first result.
-        while !matches!(
-            client.propose(&change(number), LIMIT).await,
-            ProposeResult::Outcome(_)
-        ) {}
-    }
-}
-
 /// Commit latency, claims per second and syncs per claim.
 #[test]
 #[ignore = "a measurement, not a check"]
@@ -148,7 +131,7 @@
             for round in 0..5 {
                 let away = replicas.follower().await;
                 replicas.kill(away);
-                changes(&client, round * 1000 + 1..round * 1000 + 1001).await;
+                commit_changes(&client, round * 1000 + 1..round * 1000 + 1001).await;
                 let version = client.view().config.version.max(round * 1000 + 1001);
                 let started_at = replicas.now();
                 replicas.start_replica(away);
@@ -267,7 +250,7 @@
             let mut accepted = Vec::new();
             for number in 1..41 {
                 proposed_at.set(replicas.now());
-                changes(&proposer, number..number + 1).await;
+                commit_changes(&proposer, number..number + 1).await;
                 accepted.push(replicas.now() - proposed_at.get());
                 sleep(Duration::from_millis(150)).await;
             }
--- a/crates/control/tests/support/replicas.rs
+++ b/crates/control/tests/support/replicas.rs
@@ -1,4 +1,4 @@
-use crate::commands::join;
+use crate::commands::{change, join};
 use awc::Client;
 use mangospindle_harness::{PortBlock, Process, wait_until};
 use mangospindle_model::{Clock, MonotonicClock};
@@ -19,6 +19,38 @@
 const RPC: u16 = 0;
 const ADMIN: u16 = 100;
 
+/// Runs a test on an actix system.
+pub fn run<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    actix_rt::System::new().block_on(test);
+}
+
+/// Commits changes and returns the version after the last one.
+pub async fn commit_changes(client: &ControlClient, numbers: std::ops::Range<u64>) -> u64 {
+    let mut version = 0;
+    for number in numbers {
+        let mut result = ProposeResult::Unknown;
+        // A resend of the same request gets the first result.
+        while result == ProposeResult::Unknown {
+            result = client.propose(&change(number), LIMIT).await;
+        }
+        match result {
+            ProposeResult::Outcome(Outcome::Done { version: v }) => version = v,
+            other => panic!("change {number}: {other:?}"),
+        }
+    }
+    version
+}
+
+/// Waits until a client holds a version.
+pub async fn wait_version(client: &ControlClient, version: u64) {
+    let mut views = client.subscribe();
+    let reached = views.wait_for(|view| view.config.version >= version);
+    tokio::time::timeout(LIMIT, reached).await.unwrap().unwrap();
+}
+
 /// Control replicas as processes, numbered from 1.
 pub struct Replicas {
     pub count: u16,
