Test pacing between regions and the graceful stop

Cause: the wiring of the link shaper in both directions, of the cross-region limit and of the stop had no tests in this crate.

Ruled out: a shorter lifetime of lookups for the tests, which would not test the product.

--- a/crates/entry/tests/entry/testbed.rs
+++ b/crates/entry/tests/entry/testbed.rs
@@ -26,6 +26,18 @@
 
 /// Service 0 has uploads, service 1 has at-most-once actions. All endpoints serve `service`.
 pub async fn testbed(service: u16, endpoints: usize, slots: u32, connections: u32) -> Testbed {
+    testbed_in(RegionId(0), service, endpoints, slots, connections).await
+}
+
+/// A testbed whose far entry and endpoints are in a region; clients are at home in region 0.
+pub async fn testbed_in(
+    region: RegionId,
+    service: u16,
+    endpoints: usize,
+    slots: u32,
+    connections: u32,
+) -> Testbed {
+    let far_domain = FailureDomainId(region.0);
     let control = Arc::new(FakeControl::default());
     let start = |name: &str| {
         let text = format!(
@@ -40,9 +52,9 @@
     for _ in 0..endpoints {
         fakes.push(FakeEndpoint::start().await);
     }
-    let entry = |name: &str, server: &EntryServer| mangospindle_model::Entry {
+    let entry = |name: &str, server: &EntryServer, domain| mangospindle_model::Entry {
         name: name.to_string(),
-        failure_domain: FailureDomainId(0),
+        failure_domain: domain,
         public_address: server.public_address(),
         internal_address: server.internal_address(),
     };
@@ -56,13 +68,23 @@
         name: name.to_string(),
         max_in_progress: 1000,
     };
+    let domain = |name: &str, region| FailureDomain {
+        name: name.to_string(),
+        region: RegionId(region),
+    };
+    let link = |from, to| Link {
+        from: RegionId(from),
+        to: RegionId(to),
+        bits_per_second: 8_000_000,
+        latency_us: 100,
+    };
     let topology = Topology {
         regions: vec![region("home"), region("other")],
-        failure_domains: vec![FailureDomain {
-            name: "d".to_string(),
-            region: RegionId(0),
-        }],
-        entries: vec![entry("near", &near), entry("far", &far)],
+        failure_domains: vec![domain("d", 0), domain("e", 1)],
+        entries: vec![
+            entry("near", &near, FailureDomainId(0)),
+            entry("far", &far, far_domain),
+        ],
         services: vec![
             service_of("files", RequestClass::Upload),
             service_of("acts", RequestClass::AtMostOnce),
@@ -71,18 +93,13 @@
             .map(|(i, fake)| Endpoint {
                 name: format!("endpoint-{i}"),
                 service: ServiceId(service),
-                failure_domain: FailureDomainId(0),
+                failure_domain: far_domain,
                 address: fake.address,
                 slots,
                 max_connections: connections,
             })
             .collect(),
-        links: vec![Link {
-            from: RegionId(0),
-            to: RegionId(1),
-            bits_per_second: 1_000_000_000,
-            latency_us: 100,
-        }],
+        links: vec![link(0, 1), link(1, 0)],
         client_ranges: vec![ClientRange {
             net: "127.0.0.0/8".parse().unwrap(),
             block_prefix: 24,
