Test that moved cross-region shares wait

Cause: the delay of increased cross-region shares had no test of its own.

A table case adds an endpoint under an unchanged limit of 8: the owner admits 6 in the window until 5.11 s after the change and 8 from then on.

--- a/crates/quota/tests/quota/admission_cases.rs
+++ b/crates/quota/tests/quota/admission_cases.rs
@@ -247,6 +247,23 @@
     assert_eq!(owner.read(HOME), NONE);
 }
 
+/// Guards against the use of a cross-region share that another owner may still use under the
+/// configuration before: the share that moves to an added endpoint counts 5.11 s later.
+#[test]
+fn moved_cross_region_share_waits() {
+    // Of five equal endpoints, three have a share of 2, among them the added one.
+    for (wait, admitted) in [(1_010, 6), (5_109, 6), (5_110, 8)] {
+        let mut owner = Owner::new(100, profile(8, 1.0));
+        let added = endpoint(8, 0, FailureDomainId(0));
+        owner.change(ConfigChange::AddEndpoint(added));
+        owner.change(owned(EndpointId(8), Some(EntryId(0)), 1, Takeover::Clean));
+        owner.advance(wait);
+        owner.confirm(0);
+        let count = (0..10).filter(|_| owner.read(AWAY) == Got::Slot).count();
+        assert_eq!(count, admitted, "{wait} ms after the change");
+    }
+}
+
 /// Guards against passing on an endpoint in quarantine to an owner that does not wait.
 #[test]
 fn quarantine_is_not_released() {
