Bound and shrink the digests of old claims

Cause: digests of keys are kept for 90 days without a bound, and took 468 KiB per 10,000 in a tree.

Ruled out: dropping the oldest digests when there are too many, because an action could then run twice; new claims are refused as not run instead.

Before: 468 KiB per 10,000 digests, no bound. After, measured: 165 KiB per 10,000, at most 20 million (320 MiB).

Conclusion: 20 million digests allow 2.5 claims per second throughout 90 days. That, not the 24-hour limit of 23 per second, bounds the sustained rate.

--- a/crates/state/src/claim_table.rs
+++ b/crates/state/src/claim_table.rs
@@ -14,13 +14,18 @@
 /// 360 bytes, so that this many take 690 MiB; they allow 23 claims per second throughout a day.
 pub(crate) const MAX_LIVE: usize = 2_000_000;
 
+/// Digests that are kept at most, for the same reason. They take 17 bytes each, 320 MiB together,
+/// and allow 2.5 claims per second throughout the 90 days.
+pub(crate) const MAX_DIGESTS: usize = 20_000_000;
+
 /// Bytes of answer bodies kept at most. Further answers are kept without their body.
 pub(crate) const MAX_BODY_BYTES_TOTAL: u64 = 256 * 1024 * 1024;
 
-/// Digests are forgotten in groups of this length, so that the time is not stored per digest.
-const GROUP_MS: u64 = 3600 * 1000;
+/// Digests are kept in groups of this length, so that neither a time nor a tree node is needed per
+/// digest. A look-up searches each of the 91 groups.
+const GROUP_MS: u64 = 24 * 3600 * 1000;
 
-/// Digests whose retention started in the same hour.
+/// Digests whose retention started on the same day. Sorted, except in the newest group.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct DigestGroup {
     /// Elapsed leader time of the newest digest.
@@ -33,7 +38,9 @@
 pub(crate) struct ClaimTable {
     live: BTreeMap<KeyDigest, LiveClaim>,
     by_age: BTreeSet<(u64, KeyDigest)>,
-    digests: BTreeSet<KeyDigest>,
+    /// The digests of the newest group.
+    newest: BTreeSet<KeyDigest>,
+    digests: usize,
     groups: VecDeque<DigestGroup>,
     body_bytes: u64,
 }
@@ -42,13 +49,20 @@
     /// Rebuilds the table from the parts of a snapshot.
     pub(crate) fn from_parts(
         live: Vec<(KeyDigest, LiveClaim)>,
-        groups: VecDeque<DigestGroup>,
+        mut groups: VecDeque<DigestGroup>,
     ) -> Self {
+        let newest = groups.pop_back();
+        // Sorted already, unless the snapshot is damaged; a missed digest would grant a key twice.
+        groups.iter_mut().for_each(|g| g.digests.sort_unstable());
+        let in_newest = newest.iter().flat_map(|g| &g.digests).copied();
+        let newest_digests = in_newest.collect();
+        groups.extend(newest);
         ClaimTable {
             by_age: live.iter().map(|(k, c)| (c.changed_ms, *k)).collect(),
             body_bytes: live.iter().map(|(_, c)| c.body_bytes()).sum(),
             live: live.into_iter().collect(),
-            digests: groups.iter().flat_map(|g| &g.digests).copied().collect(),
+            newest: newest_digests,
+            digests: groups.iter().map(|g| g.digests.len()).sum(),
             groups,
         }
     }
@@ -67,11 +81,13 @@
 
     /// Whether the answer is gone but the key must not be granted again.
     pub(crate) fn only_digest(&self, key: KeyDigest) -> bool {
-        self.digests.contains(&key)
+        let closed = self.groups.len().saturating_sub(1);
+        let in_group = |g: &DigestGroup| g.digests.binary_search(&key).is_ok();
+        self.newest.contains(&key) || self.groups.iter().take(closed).any(in_group)
     }
 
     pub(crate) fn is_full(&self) -> bool {
-        self.live.len() >= MAX_LIVE
+        self.live.len() >= MAX_LIVE || self.digests >= MAX_DIGESTS
     }
 
     /// Adds a claim in progress under a key that has none.
@@ -173,7 +189,8 @@
         {
             match group.digests.pop() {
                 Some(key) => {
-                    self.digests.remove(&key);
+                    self.newest.remove(&key);
+                    self.digests -= 1;
                     budget -= 1;
                 }
                 None => {
@@ -184,21 +201,25 @@
     }
 
     fn keep_digest(&mut self, now: u64, key: KeyDigest) {
-        self.digests.insert(key);
-        match self.groups.back_mut() {
-            Some(group) if group.since_ms / GROUP_MS == now / GROUP_MS => {
+        let same_day = |g: &&mut DigestGroup| g.since_ms / GROUP_MS == now / GROUP_MS;
+        match self.groups.back_mut().filter(same_day) {
+            Some(group) => {
                 group.since_ms = now;
                 group.digests.push(key);
             }
-            last => {
-                if let Some(group) = last {
-                    group.digests.shrink_to_fit();
+            None => {
+                if let Some(closed) = self.groups.back_mut() {
+                    closed.digests.sort_unstable();
+                    closed.digests.shrink_to_fit();
                 }
+                self.newest.clear();
                 self.groups.push_back(DigestGroup {
                     since_ms: now,
                     digests: vec![key],
                 });
             }
         }
+        self.newest.insert(key);
+        self.digests += 1;
     }
 }
