Keep the proxy's listeners open, overload slots in place of the processor

Cause: (1) In two of three runs a cluster did not start within 60 s. The entry's log says "connection refused" for the proxy: its accept loop had ended when the overload case beside it used up all descriptors of the test process. (2) The overload case sent 2,700 requests per second through debug builds on a machine with a load average of 44; it measured the processor and not the slots.

Ruled out: a fault of the control client; it went on from replica to replica every 0.5 s.

After: the proxy goes on after a failed accept. The overload case now offers 175 reads per second and region to slots for 120 (100 ms each) and asks for 95% of what fits, which is stricter than the 20% before.

--- a/crates/harness/src/proxy.rs
+++ b/crates/harness/src/proxy.rs
@@ -8,6 +8,9 @@
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
 
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// A directed pair of nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LinkKey {
@@ -131,8 +134,14 @@
     there: watch::Receiver<LinkState>,
     back: watch::Receiver<LinkState>,
 ) {
-    while let Ok((client, _)) = listener.accept().await {
-        tokio::spawn(connect(client, target, there.clone(), back.clone()));
+    loop {
+        match listener.accept().await {
+            Ok((client, _)) => {
+                tokio::spawn(connect(client, target, there.clone(), back.clone()));
+            }
+            // Out of descriptors: a listener that gave up would look like a dead process.
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
     }
 }
 
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -27,7 +27,10 @@
 struct Case {
     name: &'static str,
     event: Event,
-    /// Requests per second from each region; the slots of a region carry about 2,000.
+    /// Processing time of endpoints, in milliseconds.
+    service_time_ms: u64,
+    /// Requests per second from each region, 7 in 10 of them reads of the first service. Its 12
+    /// slots in a region carry 600 reads per second at 20 ms and 120 at 100 ms.
     rate: f64,
     /// Least part of reads that must succeed.
     min_reads: f64,
@@ -38,6 +41,7 @@
 async fn run_case(case: Case) {
     let mut spec = ClusterSpec::new(Example::Cantabrica);
     spec.latencies = true;
+    spec.service_time_ms = case.service_time_ms;
     let mut cluster = Cluster::start(spec).await.expect("cluster starts");
     let plan = cluster.load(case.rate, LOAD_TIME, 7);
     let load = actix_rt::spawn(async move { run_load(&plan).await });
@@ -123,12 +127,13 @@
 }
 
 macro_rules! cases {
-    ($($name:ident: $event:ident, $rate:expr, $min_reads:expr;)*) => {
+    ($($name:ident: $event:ident, $service_time_ms:expr, $rate:expr, $min_reads:expr;)*) => {
         $(#[actix_rt::test]
         async fn $name() {
             run_case(Case {
                 name: stringify!($name),
                 event: Event::$event,
+                service_time_ms: $service_time_ms,
                 rate: $rate,
                 min_reads: $min_reads,
             })
@@ -138,15 +143,16 @@
 }
 
 cases! {
-    calm: Nothing, 60.0, 1.0;
-    overload: Nothing, 900.0, 0.2;
-    entry_is_killed_and_restarts: KillAndRestartEntry, 60.0, 0.95;
-    entry_freezes: FreezeEntry, 60.0, 0.9;
-    failure_domain_is_cut_off: CutOffDomain, 60.0, 0.9;
-    region_is_cut_off: CutOffRegion, 60.0, 0.9;
-    readings_freeze: FreezeReadings, 60.0, 0.99;
-    endpoint_fails_fast: FailFastEndpoints, 60.0, 0.95;
-    endpoint_stalls: StallEndpoints, 60.0, 0.95;
-    connections_go_silent: SilenceConnections, 60.0, 0.95;
-    two_control_replicas_die: KillControlLeaderCandidates, 60.0, 1.0;
+    calm: Nothing, 20, 60.0, 1.0;
+    // 120 of 175 reads per second fit; 95% of that is the target for refusals.
+    overload: Nothing, 100, 250.0, 0.65;
+    entry_is_killed_and_restarts: KillAndRestartEntry, 20, 60.0, 0.95;
+    entry_freezes: FreezeEntry, 20, 60.0, 0.9;
+    failure_domain_is_cut_off: CutOffDomain, 20, 60.0, 0.9;
+    region_is_cut_off: CutOffRegion, 20, 60.0, 0.9;
+    readings_freeze: FreezeReadings, 20, 60.0, 0.99;
+    endpoint_fails_fast: FailFastEndpoints, 20, 60.0, 0.95;
+    endpoint_stalls: StallEndpoints, 20, 60.0, 0.95;
+    connections_go_silent: SilenceConnections, 20, 60.0, 0.95;
+    two_control_replicas_die: KillControlLeaderCandidates, 20, 60.0, 1.0;
 }
