Repair a follower whose hint lies below what is known to match

A follower whose log had entries of one term on both sides of the known matching position named the first of them as the next to send; the leader took the answer for an old one, and the follower stayed behind until the next election. Ruled out: a hint above the matching position (the follower does not know that position). Schedules are drawn from four mixes of operations, with stopped starts, slow syncs, double membership changes and restarts of the leader. Conclusion: only an append directly behind the matching position cannot be refused; every other refusal is followed.

--- a/crates/consensus/src/node/replicate.rs
+++ b/crates/consensus/src/node/replicate.rs
@@ -137,10 +137,12 @@
                 _ => {}
             }
             self.advance_commit(now);
-        } else if index > progress.matched
-            && index < progress.next
+        } else if index < progress.next
+            && progress.next > progress.matched + 1
             && !matches!(progress.mode, Mode::Snapshot(_))
         {
+            // The hint may lie below what is known to match, if a term has entries on both sides
+            // of it. An append directly behind that is never refused: such a reply is old.
             progress.restart(Mode::Probe, index);
             let previous = (progress.next - 1).max(first - 1);
             self.send_append(now, from, previous, Vec::new());
--- a/crates/consensus/tests/cluster/operations.rs
+++ b/crates/consensus/tests/cluster/operations.rs
@@ -7,6 +7,9 @@
     /// Runs a whole schedule, then checks that the cluster recovers if it can.
     pub fn play(schedule: &Schedule, count: usize) -> Self {
         let mut simulation = Self::new(count, schedule.seed, schedule.hasty);
+        if schedule.stopped {
+            (0..count).for_each(|replica| simulation.kill(replica));
+        }
         if !schedule.early {
             simulation.run(Duration::from_secs(4));
         }
@@ -126,7 +129,22 @@
                     self.step(leader, vec![Input::TransferLeadership { to }]);
                 }
             }
-            Op::Change(replica) => self.change(replica),
+            Op::Change(replica) => {
+                if let Some(leader) = self.leader() {
+                    self.change(leader, replica);
+                }
+            }
+            Op::BounceLeader => {
+                if let Some(leader) = self.leader() {
+                    self.perform(Op::Bounce(leader));
+                }
+            }
+            Op::ChangeTwice(first, second) => {
+                for leader in 0..self.count {
+                    self.change(leader, first);
+                    self.change(leader, second);
+                }
+            }
             Op::Replay(count) => {
                 for _ in 0..count {
                     let delay = Duration::from_millis(self.random.random_range(0..300));
@@ -166,9 +184,8 @@
         voters.is_empty() || voters.iter().filter(gone).count() * 2 < voters.len()
     }
 
-    fn change(&mut self, replica: usize) {
+    fn change(&mut self, leader: usize, replica: usize) {
         let member = self.replicas[replica].member;
-        let Some(leader) = self.leader() else { return };
         let Some(node) = self.node(leader) else {
             return;
         };
--- a/crates/consensus/tests/cluster/schedule.rs
+++ b/crates/consensus/tests/cluster/schedule.rs
@@ -27,6 +27,10 @@
     /// Delivers copies of old messages again.
     Replay(u8),
     Loss(u8),
+    /// Kills the leader and starts it at once.
+    BounceLeader,
+    /// Two changes at once, at every node that takes itself for the leader.
+    ChangeTwice(usize, usize),
 }
 
 /// What happens to a cluster, with the pause in milliseconds after each step.
@@ -35,41 +39,86 @@
     pub seed: u64,
     /// Whether the disturbances start before the cluster is formed.
     pub early: bool,
+    /// Whether no replica runs at first, so that the cluster forms during the disturbances.
+    #[serde(default)]
+    pub stopped: bool,
     /// Whether election timeouts are so short and alike that candidates collide.
     #[serde(default)]
     pub hasty: bool,
     pub steps: Vec<(Op, u16)>,
 }
 
-pub fn schedules(replicas: usize) -> impl Strategy<Value = Schedule> {
-    let which = 0..replicas;
-    let op = prop_oneof![
-        12 => (which.clone(), 1..20u8).prop_map(|(r, n)| Op::Propose(r, n)),
-        3 => which.clone().prop_map(Op::Kill),
-        3 => (which.clone(), 0..4u8).prop_map(|(r, n)| Op::KillWithin(r, n)),
-        6 => which.clone().prop_map(Op::Restart),
-        4 => which.clone().prop_map(Op::LoseDisk),
-        3 => (which.clone(), which.clone()).prop_map(|(a, b)| Op::Cut(a, b)),
-        3 => which.clone().prop_map(Op::Isolate),
-        3 => any::<u8>().prop_map(Op::Split),
-        4 => which.clone().prop_map(Op::Bounce),
-        2 => which.clone().prop_map(Op::Deafen),
-        4 => Just(Op::Heal),
-        2 => (which.clone(), 50..4000u16).prop_map(|(r, ms)| Op::Freeze(r, ms)),
-        3 => which.clone().prop_map(Op::Compact),
-        2 => which.clone().prop_map(Op::Transfer),
-        3 => which.prop_map(Op::Change),
-        4 => (1..60u8).prop_map(Op::Replay),
-        1 => (0..30u8).prop_map(Op::Loss),
+/// Weights of the operations, in the order of `Op`, and the longest short pause.
+type Mix = ([u32; 19], u16);
+
+/// The first mix has everything; the others dwell on crashes, membership and forming.
+const MIXES: [Mix; 4] = [
+    (
+        [12, 3, 4, 3, 6, 4, 3, 3, 3, 2, 4, 2, 3, 2, 3, 4, 1, 0, 0],
+        1500,
+    ),
+    (
+        [9, 1, 6, 4, 4, 0, 1, 2, 4, 1, 4, 1, 1, 1, 0, 1, 1, 3, 0],
+        250,
+    ),
+    (
+        [3, 1, 2, 1, 4, 1, 1, 2, 5, 1, 5, 1, 1, 2, 4, 1, 0, 2, 5],
+        400,
+    ),
+    (
+        [1, 2, 4, 4, 8, 4, 1, 2, 3, 1, 4, 0, 0, 0, 0, 4, 1, 2, 0],
+        150,
+    ),
+];
+
+fn ops(replicas: usize, (weights, longest): Mix) -> impl Strategy<Value = (Op, u16)> {
+    let one = (0..replicas).boxed();
+    let two = (0..replicas, 0..replicas);
+    let ops: [BoxedStrategy<Op>; 19] = [
+        (one.clone(), 1..20u8)
+            .prop_map(|(r, n)| Op::Propose(r, n))
+            .boxed(),
+        one.clone().prop_map(Op::Kill).boxed(),
+        one.clone().prop_map(Op::Bounce).boxed(),
+        (one.clone(), 0..4u8)
+            .prop_map(|(r, n)| Op::KillWithin(r, n))
+            .boxed(),
+        one.clone().prop_map(Op::Restart).boxed(),
+        one.clone().prop_map(Op::LoseDisk).boxed(),
+        two.clone().prop_map(|(a, b)| Op::Cut(a, b)).boxed(),
+        one.clone().prop_map(Op::Isolate).boxed(),
+        any::<u8>().prop_map(Op::Split).boxed(),
+        one.clone().prop_map(Op::Deafen).boxed(),
+        Just(Op::Heal).boxed(),
+        (one.clone(), 50..4000u16)
+            .prop_map(|(r, ms)| Op::Freeze(r, ms))
+            .boxed(),
+        one.clone().prop_map(Op::Compact).boxed(),
+        one.clone().prop_map(Op::Transfer).boxed(),
+        one.prop_map(Op::Change).boxed(),
+        (1..60u8).prop_map(Op::Replay).boxed(),
+        (0..30u8).prop_map(Op::Loss).boxed(),
+        Just(Op::BounceLeader).boxed(),
+        two.prop_map(|(a, b)| Op::ChangeTwice(a, b)).boxed(),
     ];
-    let pause = prop_oneof![3 => 0..100u16, 3 => 100..1500u16, 1 => 1500..4000u16];
-    let steps = vec((op, pause), 10..80);
-    (any::<u64>(), any::<bool>(), any::<bool>(), steps).prop_map(|(seed, early, hasty, steps)| {
-        Schedule {
-            seed,
-            early,
-            hasty,
-            steps,
-        }
+    let weighted = weights
+        .into_iter()
+        .zip(ops)
+        .filter(|(weight, _)| *weight > 0);
+    let op = proptest::strategy::Union::new_weighted(weighted.collect());
+    let pause = prop_oneof![3 => 0..100u16, 3 => 100..=longest, 1 => longest..4000u16];
+    (op, pause)
+}
+
+pub fn schedules(replicas: usize) -> impl Strategy<Value = Schedule> {
+    let steps = MIXES.map(|mix| vec(ops(replicas, mix), 10..80).boxed());
+    let steps = proptest::strategy::Union::new(steps);
+    let flags = any::<[bool; 3]>();
+    (any::<u64>(), flags, steps).prop_map(|(seed, [early, stopped, hasty], steps)| Schedule {
+        seed,
+        early,
+        stopped: early && stopped,
+        hasty,
+        steps,
     })
 }
--- a/crates/consensus/tests/cluster/simulation.rs
+++ b/crates/consensus/tests/cluster/simulation.rs
@@ -59,8 +59,8 @@
         replicas: (0..count as u16).map(ReplicaId).collect(),
         timing: Timing {
             max_in_flight_bytes: WINDOW_BYTES,
-            max_in_flight_appends: 4,
-            max_append_bytes: 200,
+            max_in_flight_appends: 8,
+            max_append_bytes: if hasty { 60 } else { 200 },
             keep_entries: 3,
             snapshot_retry: Duration::from_millis(500),
             heartbeat: Duration::from_millis(shortest / 5),
@@ -218,7 +218,9 @@
                 let (index, term) = (last.index, last.term);
                 disk.pending.push(Write::Entries(entries));
                 let start = self.replicas[number].starts;
-                let delay = Duration::from_micros(self.random.random_range(100..20_000));
+                let slow = self.hasty && self.random.random_bool(0.1);
+                let range = if slow { 0..300_000 } else { 100..20_000 };
+                let delay = Duration::from_micros(self.random.random_range(range));
                 self.schedule(delay, Event::Synced(number, start, index, term));
             }
             Output::PersistSnapshot(snapshot) => {
