Ask for reservations again when the connection to the owner is silent

Cause: an upload whose reservation went out on a connection that had just gone silent failed at its deadline, although a reservation can be asked for twice: one that is lost expires after 1 s.

Ruled out: the same for the upload itself, because it may have arrived.

Conclusion: only requests that may not be repeated wait on a silent connection.

--- a/crates/entry/src/public_api.rs
+++ b/crates/entry/src/public_api.rs
@@ -18,6 +18,7 @@
 use mangospindle_model::{ErrorKind, RequestClass};
 use mangospindle_rpc::QueryResult;
 use mangospindle_state::{ClaimKey, ClaimOutcome};
+use mangospindle_telemetry::event;
 use serde_json::json;
 use std::sync::Arc;
 
@@ -46,6 +47,8 @@
             shared
                 .explain
                 .step(&id, shared.now(), Step::Refused(refusal.kind));
+            event!(Debug, "request_refused", "request" => id, "kind" => name,
+                "detail" => refusal.detail);
             problem(&refusal, &id)
         }
     }
--- a/crates/entry/src/remote.rs
+++ b/crates/entry/src/remote.rs
@@ -6,6 +6,7 @@
 use crate::connect::Freshness;
 use crate::exchange_body::ExchangeBody;
 use crate::headers::{self, ENTRY_ERROR, HOME_REGION, INGRESS, PERMIT, SERVED_BY, SERVED_REGION};
+use crate::ingress::slow_after;
 use crate::outbound::{Outbound, OutboundBody};
 use crate::paced::paced;
 use crate::refusal::Refusal;
@@ -109,12 +110,45 @@
 }
 
 /// Reserves a slot for an upload at an owner; returns the name of the reservation.
+///
+/// A reservation that is lost on the way expires by itself and the upload has not run, so that the
+/// owner is asked again on a new connection if the first one is silent or closed.
 pub(crate) async fn reserve(
     shared: &Arc<Shared>,
     cx: &RequestContext,
     owner: EntryId,
 ) -> Result<String, Refusal> {
-    let route = Route::new(shared, cx, owner)?;
+    let slow = slow_after(shared, cx);
+    match ask_for_permit(shared, cx, owner, Freshness::Proved, slow).await {
+        Permission::Granted(permit) => return Ok(permit),
+        Permission::Refused(refusal) => return Err(refusal),
+        Permission::NoAnswer => {}
+    }
+    match ask_for_permit(shared, cx, owner, Freshness::New, Duration::MAX).await {
+        Permission::Granted(permit) => Ok(permit),
+        Permission::Refused(refusal) => Err(refusal),
+        Permission::NoAnswer => Err(Refusal::new(ErrorKind::NoEndpoint, "the owner is silent")),
+    }
+}
+
+/// Answer to a request for a reservation.
+enum Permission {
+    Granted(String),
+    Refused(Refusal),
+    NoAnswer,
+}
+
+async fn ask_for_permit(
+    shared: &Arc<Shared>,
+    cx: &RequestContext,
+    owner: EntryId,
+    freshness: Freshness,
+    patience: Duration,
+) -> Permission {
+    let route = match Route::new(shared, cx, owner) {
+        Ok(route) => route,
+        Err(refusal) => return Permission::Refused(refusal),
+    };
     let mut outbound = Outbound {
         method: Method::POST,
         path: format!("{RESERVE_PATH}{}", route.service),
@@ -122,28 +156,27 @@
         body: OutboundBody::None,
     };
     route.set_headers(shared, &mut outbound.headers);
-    let plan = route.plan(owner, Freshness::Proved, cx.deadline);
+    let plan = route.plan(owner, freshness, cx.deadline);
     let mut call = match Call::prepare(shared, cx, &mut outbound, &plan, None).await {
         Ok(call) => call,
-        Err((refusal, _)) => return Err(refusal),
+        Err((refusal, _)) => return Permission::Refused(refusal),
     };
     let left = cx.deadline.saturating_sub(shared.now());
-    // A reservation that is lost on the way expires by itself; the upload has not run.
-    let head = match call.head(shared, left).await {
-        Some(Ok(head)) => head,
-        Some(Err(e)) => return Err(Refusal::new(ErrorKind::NoEndpoint, format!("owner: {e}"))),
-        None => return Err(ErrorKind::DeadlineBeforeDispatch.into()),
+    let Some(Ok(head)) = call.head(shared, left.min(patience)).await else {
+        return Permission::NoAnswer;
     };
     let (exchange, _) = call.into_parts();
     discard(exchange).await;
     let error = headers::text(&head.headers, ENTRY_ERROR);
     match (error, headers::text(&head.headers, PERMIT)) {
-        (None, Some(permit)) => Ok(permit.to_string()),
+        (None, Some(permit)) => Permission::Granted(permit.to_string()),
         (Some(name), _) => {
             let kind = ErrorKind::from_name(name).unwrap_or(ErrorKind::NoEndpoint);
-            Err(shared.with_retry_after(kind.into(), cx.service))
+            Permission::Refused(shared.with_retry_after(kind.into(), cx.service))
+        }
+        (None, None) => {
+            Permission::Refused(Refusal::new(ErrorKind::NoEndpoint, "owner: no permit"))
         }
-        (None, None) => Err(Refusal::new(ErrorKind::NoEndpoint, "owner: no permit")),
     }
 }
 
