--- a/crates/control/tests/measure.rs
+++ b/crates/control/tests/measure.rs
@@ -165,45 +165,49 @@
     });
 }
 
+/// Bytes sent and received, seconds of processor time, and resident memory in MB of a replica.
+async fn usage(replicas: &Replicas, replica: u16) -> (f64, f64, f64) {
+    let mut bytes = 0.0;
+    for name in [
+        "peer_sent",
+        "peer_received",
+        "server_sent",
+        "server_received",
+    ] {
+        let name = format!("{name}_bytes");
+        bytes += replicas.metric(replica, &name).await.unwrap();
+    }
+    let (seconds, resident) = process_usage(replicas.pid(replica));
+    (bytes, seconds, resident)
+}
+
+/// Seconds of processor time, and resident memory in MB.
+fn process_usage(pid: u32) -> (f64, f64) {
+    const TICKS_PER_SECOND: f64 = 100.0;
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let fields: Vec<&str> = stat.split_whitespace().collect();
+    let ticks: f64 = (13..15).map(|i| fields[i].parse::<f64>().unwrap()).sum();
+    let pages: f64 = fields[23].parse().unwrap();
+    (ticks / TICKS_PER_SECOND, pages * 4096.0 / 1e6)
+}
+
 /// Bytes per second and CPU of each replica without load.
 #[test]
 #[ignore = "a measurement, not a check"]
 fn idle() {
     const PERIOD: Duration = Duration::from_secs(20);
-    const TICKS_PER_SECOND: f64 = 100.0;
     run(async {
         for count in [3, 5] {
             let replicas = Replicas::start(count).await;
             let leader = replicas.leader().await;
             sleep(Duration::from_secs(2)).await;
-            let read = |replica| {
-                let replicas = &replicas;
-                async move {
-                    let mut bytes = 0.0;
-                    for name in [
-                        "peer_sent",
-                        "peer_received",
-                        "server_sent",
-                        "server_received",
-                    ] {
-                        let name = format!("{name}_bytes");
-                        bytes += replicas.metric(replica, &name).await.unwrap();
-                    }
-                    let path = format!("/proc/{}/stat", replicas.pid(replica));
-                    let stat = std::fs::read_to_string(path).unwrap();
-                    let fields: Vec<&str> = stat.split_whitespace().collect();
-                    let ticks: f64 = (13..15).map(|i| fields[i].parse::<f64>().unwrap()).sum();
-                    let pages: f64 = fields[23].parse().unwrap();
-                    (bytes, ticks / TICKS_PER_SECOND, pages * 4096.0 / 1e6)
-                }
-            };
             let mut before = Vec::new();
             for replica in replicas.all() {
-                before.push(read(replica).await);
+                before.push(usage(&replicas, replica).await);
             }
             sleep(PERIOD).await;
             for (replica, before) in replicas.all().into_iter().zip(before) {
-                let after = read(replica).await;
+                let after = usage(&replicas, replica).await;
                 println!(
                     "{count} replicas, idle, replica {replica}{}: {:.0} bytes/s sent and received, \
                      {:.2}% of a core, {:.0} MB resident",
@@ -269,3 +273,62 @@
         }
     });
 }
+
+/// Cost of watches held at one replica, without changes and with one change per second, and the
+/// time until the last watcher has a change. Guards nothing; the slopes are in `docs/CAPACITY.md`.
+#[test]
+#[ignore = "a measurement, not a check"]
+fn watches() {
+    const SECONDS: u64 = 15;
+    run(async {
+        for watchers in [0usize, 10, 50, 200] {
+            let replicas = Replicas::start(3).await;
+            let (leader, follower) = (replicas.leader().await, replicas.follower().await);
+            let proposer = replicas.client(&[leader]);
+            let clients: Vec<_> = (0..watchers)
+                .map(|_| replicas.client(&[follower]))
+                .collect();
+            sleep(Duration::from_secs(3)).await;
+            let mut lasts = Vec::new();
+            for with_changes in [false, true] {
+                let before = usage(&replicas, follower).await;
+                let own_before = process_usage(std::process::id());
+                let start = replicas.now();
+                for number in 1..=SECONDS {
+                    let proposed_at = replicas.now();
+                    if with_changes {
+                        changes(&proposer, number..number + 1).await;
+                        for client in &clients {
+                            let mut views = client.subscribe();
+                            let newer = views.wait_for(|v| v.config.version > number);
+                            let _view = newer.await.unwrap();
+                        }
+                        lasts.push(replicas.now() - proposed_at);
+                    }
+                    sleep(Duration::from_secs(1)).await;
+                }
+                let elapsed = (replicas.now() - start).as_secs_f64();
+                let after = usage(&replicas, follower).await;
+                let own = process_usage(std::process::id()).0 - own_before.0;
+                println!(
+                    "{watchers} watchers, {}: replica {:.0} bytes/s, {:.2}% of a core, {:.1} MB \
+                     resident; all watchers {:.2}% of a core",
+                    if with_changes {
+                        "a change each second"
+                    } else {
+                        "idle"
+                    },
+                    (after.0 - before.0) / elapsed,
+                    (after.1 - before.1) / elapsed * 100.0,
+                    after.2,
+                    own / elapsed * 100.0,
+                );
+            }
+            println!(
+                "{watchers} watchers: from proposal to the last watcher {}; load average {}",
+                quantiles(&mut lasts),
+                std::fs::read_to_string("/proc/loadavg").unwrap().trim(),
+            );
+        }
+    });
+}
