Look only at owned endpoints when admission handles an event

Cause: each request, answer and health reading went through all endpoints of the region to find those that the entry owns. At 880 entries a region has about 2,420 endpoints, of which an entry owns 11.

The admission now keeps the positions of owned endpoints, in all and by service, and renews them with each configuration. The lists have the same order as the filtered ones before, so that random choices are unchanged.

Ruled out: a smaller list of endpoints of the region, since shares are computed over all of them at each owner.

Conclusion: the cost of a request at its owner no longer grows with the region.

--- a/crates/quota/src/admission.rs
+++ b/crates/quota/src/admission.rs
@@ -44,6 +44,9 @@
     /// Endpoints of the own region in the order of the topology, owned or not.
     endpoints: Vec<EndpointState>,
     positions: HashMap<EndpointId, usize>,
+    /// Positions of the endpoints that this entry owns, in ascending order. Events look at these
+    /// only: at 880 entries, a region has about 2,420 endpoints, of which an entry owns 11.
+    owned: Vec<usize>,
     services: Vec<ServiceState>,
     region_shares: ShareHistory,
     region_limited: bool,
@@ -71,6 +74,7 @@
             confirmed_once: false,
             endpoints: Vec::new(),
             positions: HashMap::new(),
+            owned: Vec::new(),
             services: Vec::new(),
             region_shares: ShareHistory::default(),
             region_limited: false,
@@ -221,7 +225,7 @@
     fn eject_if_bad(&mut self, now: Duration, position: usize) {
         let service = &self.services[self.endpoints[position].service.index()];
         let usable = |i: &&usize| self.endpoints[**i].is_usable(now);
-        let usable: Vec<usize> = service.endpoints.iter().filter(usable).copied().collect();
+        let usable: Vec<usize> = service.owned.iter().filter(usable).copied().collect();
         let out = (usable.iter())
             .filter(|i| **i != position && self.endpoints[**i].stats.is_ejected(now))
             .count();
@@ -287,8 +291,8 @@
     }
 
     fn usable_slots(&self, now: Duration, service: ServiceId) -> u32 {
-        let endpoints = self.services[service.index()].endpoints.iter();
-        let usable = endpoints.filter(|i| self.endpoints[**i].is_usable(now));
+        let owned = self.services[service.index()].owned.iter();
+        let usable = owned.filter(|i| self.endpoints[**i].is_usable(now));
         usable.map(|i| self.endpoints[*i].slots).sum()
     }
 
--- a/crates/quota/src/admission/connections.rs
+++ b/crates/quota/src/admission/connections.rs
@@ -50,7 +50,7 @@
                 false => 0,
             }
         };
-        let slots: u32 = state.endpoints.iter().map(free).sum();
+        let slots: u32 = state.owned.iter().map(free).sum();
         let region = self.region_part(now).saturating_sub(self.region_in_flight);
         if self.confirmed_once {
             slots.min(region)
--- a/crates/quota/src/admission/dispatch.rs
+++ b/crates/quota/src/admission/dispatch.rs
@@ -61,7 +61,7 @@
     fn pick_endpoint(&mut self, now: Duration, service: ServiceId) -> Option<usize> {
         let state = &self.services[service.index()];
         let usable = |i: &&usize| self.endpoints[**i].is_usable(now);
-        let usable: Vec<usize> = state.endpoints.iter().filter(usable).copied().collect();
+        let usable: Vec<usize> = state.owned.iter().filter(usable).copied().collect();
         let all_suspect = usable.iter().all(|i| self.endpoints[*i].is_suspect(now));
         let best_ramp = (usable.iter())
             .map(|i| self.endpoints[*i].stats.ramp(now))
--- a/crates/quota/src/admission/ownership.rs
+++ b/crates/quota/src/admission/ownership.rs
@@ -19,13 +19,16 @@
             let state = EndpointState::new(id, item.service, slots, connections, now);
             self.endpoints.push(state);
             self.positions.insert(id, position);
-            self.services[item.service.index()].endpoints.push(position);
         }
     }
 
     /// Takes ownership and operator drains from the configuration.
     pub(super) fn update_ownership(&mut self, now: Duration) {
         let config = self.config.clone();
+        self.owned.clear();
+        for service in &mut self.services {
+            service.owned.clear();
+        }
         for position in 0..self.endpoints.len() {
             let endpoint = &mut self.endpoints[position];
             let id = endpoint.id;
@@ -33,11 +36,17 @@
             let ownership = config.ownership[id.index()];
             if ownership.owner != Some(self.entry) {
                 endpoint.owned = None;
+                endpoint.drain_started = None;
+                endpoint.drain_reported = false;
                 endpoint.stay();
             } else if endpoint.owned != Some(ownership.epoch) {
                 self.take_over(now, position, ownership.epoch, ownership.takeover);
             }
             let endpoint = &mut self.endpoints[position];
+            if endpoint.owned.is_some() {
+                self.owned.push(position);
+                self.services[endpoint.service.index()].owned.push(position);
+            }
             let preferred = (endpoint.owned).and_then(|_| preferred_owner(&config, id));
             endpoint.preferred_elsewhere = preferred.is_some_and(|p| p != self.entry);
             if !endpoint.released && !endpoint.preferred_elsewhere {
@@ -90,11 +99,8 @@
         for service in &self.services {
             let mut next: Option<usize> = None;
             let mut one_is_going = false;
-            for position in service.endpoints.iter().copied() {
+            for position in service.owned.iter().copied() {
                 let endpoint = &self.endpoints[position];
-                if endpoint.owned.is_none() {
-                    continue;
-                }
                 one_is_going |= endpoint.is_going();
                 let in_flight = |i: usize| self.endpoints[i].in_flight;
                 if endpoint.preferred_elsewhere
@@ -112,13 +118,9 @@
 
     /// Reports endpoints that are drained or ready to be released.
     pub(super) fn report_drains(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        for position in 0..self.endpoints.len() {
+        for i in 0..self.owned.len() {
+            let position = self.owned[i];
             let endpoint = &mut self.endpoints[position];
-            if endpoint.owned.is_none() {
-                endpoint.drain_started = None;
-                endpoint.drain_reported = false;
-                continue;
-            }
             match (endpoint.is_leaving(), endpoint.drain_started) {
                 (true, None) => endpoint.drain_started = Some(now),
                 (false, Some(_)) => {
--- a/crates/quota/src/admission/parts.rs
+++ b/crates/quota/src/admission/parts.rs
@@ -52,11 +52,12 @@
 
     /// The owner's part of the region limit.
     pub(super) fn region_part(&self, now: Duration) -> u32 {
-        let share = |(i, e): (usize, &super::EndpointState)| {
-            if e.owned.is_none() || now < e.share_from {
+        let share = |i: &usize| {
+            let e = &self.endpoints[*i];
+            if now < e.share_from {
                 return 0;
             }
-            let share = self.region_shares.effective(now, i);
+            let share = self.region_shares.effective(now, *i);
             // A share on the way to another owner is only used by what runs there still.
             if e.is_going() {
                 share.min(e.in_flight)
@@ -66,7 +67,7 @@
         };
         match now < self.region_hold_until {
             true => 0,
-            false => self.endpoints.iter().enumerate().map(share).sum(),
+            false => self.owned.iter().map(share).sum(),
         }
     }
 
@@ -78,9 +79,9 @@
         };
         let counts = |i: &&usize| {
             let e = &self.endpoints[**i];
-            e.owned.is_some() && !e.is_going() && now >= e.cross_from
+            !e.is_going() && now >= e.cross_from
         };
-        (state.endpoints.iter().filter(counts))
+        (state.owned.iter().filter(counts))
             .map(|i| cross.shares.effective(now, *i))
             .sum()
     }
--- a/crates/quota/src/admission/service_state.rs
+++ b/crates/quota/src/admission/service_state.rs
@@ -8,8 +8,8 @@
     pub(super) queue: ClassQueue,
     /// By home region.
     pub(super) cross: Vec<CrossRegion>,
-    /// Positions of the service's endpoints among those of the region.
-    pub(super) endpoints: Vec<usize>,
+    /// Positions of the service's endpoints that this entry owns, in ascending order.
+    pub(super) owned: Vec<usize>,
     /// Moving average of the time to the first byte.
     usual_s: Option<f64>,
 }
