Measure the answer to a probe

Cause: probes are the largest regular traffic between entries, and nothing measured their size.

The ignored test `probe_bytes` prints the bytes of an answer. Ruled out: a metric for bytes of all traffic between entries, which also counts forwards.

--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -16,6 +16,7 @@
 mod configuration;
 mod drain;
 mod limits;
+mod measure;
 mod regions;
 mod requests;
 mod reservation;
