Add an experiment command with two baselines

Ruled out: latencies between callers and endpoints by the proxy, because its listeners are shared by all senders of a failure domain; callers wait the one-way latency before each request and after each answer instead, with the same code for entries and baselines. One deployment for all policies, because endpoints count their maxima since their start.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -1,10 +1,11 @@
 use crate::TrafficKind;
+use crate::direct::Direct;
 use crate::lookup_cache::{LookupAnswer, LookupCache};
 use crate::recorder::Ending;
 use awc::{Client, ClientResponse, Connector, http::Method};
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
-use mangospindle_model::Clock;
+use mangospindle_model::{Clock, RegionId};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -27,8 +28,12 @@
 /// A caller with an address of its own.
 pub(crate) struct Caller {
     client: Client,
+    home: RegionId,
     home_region: String,
     first_entries: Vec<SocketAddr>,
+    /// One-way latencies.
+    delays: Rc<HashMap<SocketAddr, Duration>>,
+    direct: Option<Rc<Direct>>,
     clock: Arc<dyn Clock>,
     lookups: RefCell<HashMap<String, LookupCache>>,
 }
@@ -43,8 +48,10 @@
 impl Caller {
     pub(crate) fn new(
         address: IpAddr,
-        home_region: String,
+        (home, home_region): (RegionId, String),
         first_entries: Vec<SocketAddr>,
+        delays: Rc<HashMap<SocketAddr, Duration>>,
+        direct: Option<Rc<Direct>>,
         clock: Arc<dyn Clock>,
     ) -> Rc<Self> {
         let connector = Connector::new()
@@ -58,8 +65,11 @@
             .finish();
         Rc::new(Caller {
             client,
+            home,
             home_region,
             first_entries,
+            delays,
+            direct,
             clock,
             lookups: RefCell::default(),
         })
@@ -79,12 +89,16 @@
     ) -> Ending {
         let start = self.clock.now();
         let mut last = failure("lookup_failed", true);
-        for entry in self.lookup(service).await.iter().take(MAX_ENTRIES_TRIED) {
+        let targets = match &self.direct {
+            Some(direct) => direct.targets(service, self.home),
+            None => self.lookup(service).await,
+        };
+        for entry in targets.iter().take(MAX_ENTRIES_TRIED) {
             let left = deadline.saturating_sub(self.clock.now() - start);
             if left.is_zero() {
                 break;
             }
-            let attempt = self.attempt(*entry, service, kind, token, left);
+            let attempt = self.delayed_attempt(*entry, service, kind, token, left);
             match actix_rt::time::timeout(left, attempt).await {
                 Ok(Attempt::Done(ending)) => return ending,
                 Ok(Attempt::TryNext(ending)) => last = ending,
@@ -106,8 +120,11 @@
         for entry in known.iter().chain(&self.first_entries) {
             let url = format!("http://{entry}/v1/lookup?service={service}");
             let answer = actix_rt::time::timeout(LOOKUP_TIMEOUT, async {
+                self.delay(*entry).await;
                 let mut answer = self.client.get(url).send().await.ok()?;
-                answer.json::<LookupAnswer>().await.ok()
+                let answer = answer.json::<LookupAnswer>().await.ok();
+                self.delay(*entry).await;
+                answer
             });
             if let Ok(Some(answer)) = answer.await {
                 let mut lookups = self.lookups.borrow_mut();
@@ -119,6 +136,34 @@
         known
     }
 
+    /// Waits the one-way latency between the caller and a process.
+    async fn delay(&self, to: SocketAddr) {
+        if let Some(delay) = self.delays.get(&to).filter(|d| !d.is_zero()) {
+            actix_rt::time::sleep(*delay).await;
+        }
+    }
+
+    async fn delayed_attempt(
+        &self,
+        to: SocketAddr,
+        service: &str,
+        kind: TrafficKind,
+        token: &str,
+        left: Duration,
+    ) -> Attempt {
+        self.delay(to).await;
+        let attempt = self.attempt(to, service, kind, token, left).await;
+        self.delay(to).await;
+        match (attempt, &self.direct) {
+            (Attempt::Done(Ending::Success { .. }), Some(direct)) => {
+                Attempt::Done(Ending::Success {
+                    served_region: direct.region_name(to),
+                })
+            }
+            (attempt, _) => attempt,
+        }
+    }
+
     async fn attempt(
         &self,
         entry: SocketAddr,
@@ -134,11 +179,19 @@
             TrafficKind::Upload { .. } => (Method::PUT, format!("file/{token}")),
             TrafficKind::AtMostOnce => (Method::POST, "action".to_string()),
         };
-        let req = self
+        let url = match self.direct {
+            Some(_) => format!("http://{entry}/{path}"),
+            None => format!("http://{entry}/s/{service}/{path}"),
+        };
+        let mut req = self
             .client
-            .request(method, format!("http://{entry}/s/{service}/{path}"))
+            .request(method, url)
             .insert_header(("x-caller-token", token))
             .insert_header(("x-deadline-ms", left.as_millis().to_string()));
+        if self.direct.is_some() {
+            // Entries set it for the endpoints; the stand-ins count by it.
+            req = req.insert_header(("x-home-region", self.home_region.as_str()));
+        }
         let sent = match kind {
             TrafficKind::Read { .. } => req.send().await,
             TrafficKind::Upload { body_bytes } => {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,16 +6,19 @@
 
 mod caller;
 mod command;
+mod direct;
 mod histogram;
 mod lookup_cache;
 mod plan;
 mod recorder;
 mod report;
+mod route;
 mod run;
 mod traffic;
 
 pub use command::{Command, command, run_command};
 pub use plan::LoadPlan;
 pub use report::{ClassReport, LatencyMs, LoadReport};
+pub use route::Route;
 pub use run::run_load;
 pub use traffic::{Traffic, TrafficKind};
--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -1,4 +1,4 @@
-use crate::Traffic;
+use crate::{Route, Traffic};
 use mangospindle_model::Topology;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +18,11 @@
     pub callers_per_region: u16,
     /// Deadline that reads and at-most-once actions carry.
     pub deadline: Duration,
+    /// How callers find the process that they send a request to.
+    pub route: Route,
+    /// One-way latency from the clients of a home region (first position) to a region (second
+    /// position), which callers wait before each request and after each answer. None if empty.
+    pub one_way: Vec<Vec<Duration>>,
     /// Seed of all random choices.
     pub seed: u64,
 }
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -1,11 +1,13 @@
 use crate::caller::Caller;
+use crate::direct::Direct;
 use crate::recorder::{Finished, Recorder};
 use crate::{LoadPlan, LoadReport, Traffic};
 use mangospindle_model::{Clock, MonotonicClock, RegionId, RequestClass, Topology};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cell::RefCell;
-use std::net::{IpAddr, Ipv4Addr};
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,8 +26,14 @@
 
 /// Generates the load of a plan and waits until all requests have ended.
 pub async fn run_load(plan: &LoadPlan) -> LoadReport {
+    let direct = Direct::new(plan);
+    let mut refresher = None;
+    if let Some(direct) = direct.clone() {
+        direct.refresh().await;
+        refresher = Some(actix_rt::spawn(async move { direct.keep_fresh().await }));
+    }
     let clock: Arc<dyn Clock> = Arc::new(MonotonicClock::new());
-    let callers = callers(plan, &clock);
+    let callers = callers(plan, &clock, direct.as_ref());
     let recorder = Rc::new(RefCell::new(Recorder::new(plan.seed)));
     let mut running = Vec::new();
     for arrival in arrivals(plan) {
@@ -58,19 +66,36 @@
         }));
     }
     futures::future::join_all(running).await;
+    if let Some(refresher) = refresher {
+        refresher.abort();
+    }
     let recorder = Rc::into_inner(recorder).map(RefCell::into_inner);
     recorder.map_or_else(LoadReport::default, Recorder::report)
 }
 
-fn callers(plan: &LoadPlan, clock: &Arc<dyn Clock>) -> Vec<Vec<Rc<Caller>>> {
+fn callers(
+    plan: &LoadPlan,
+    clock: &Arc<dyn Clock>,
+    direct: Option<&Rc<Direct>>,
+) -> Vec<Vec<Rc<Caller>>> {
     let region = |(i, region): (usize, &mangospindle_model::Region)| {
+        let delays = Rc::new(delays(plan, i));
         (0..plan.callers_per_region.max(1))
             .map(|n| {
                 let address = caller_address(&plan.topology, RegionId(i as u16), n);
                 let mut entries = plan.entries.clone();
                 let shift = usize::from(n) % entries.len().max(1);
                 entries.rotate_left(shift);
-                Caller::new(address, region.name.clone(), entries, Arc::clone(clock))
+                let home = (RegionId(i as u16), region.name.clone());
+                let delays = Rc::clone(&delays);
+                Caller::new(
+                    address,
+                    home,
+                    entries,
+                    delays,
+                    direct.cloned(),
+                    Arc::clone(clock),
+                )
             })
             .collect()
     };
@@ -82,6 +107,25 @@
         .collect()
 }
 
+/// One-way latencies from the clients of a home region to entries and endpoints.
+fn delays(plan: &LoadPlan, home: usize) -> HashMap<SocketAddr, Duration> {
+    let topology = &plan.topology;
+    let entries = (topology.entry_ids()).map(|id| {
+        let address = topology.entries[id.index()].public_address;
+        (address, topology.entry_region(id))
+    });
+    let endpoints = (topology.endpoint_ids()).map(|id| {
+        let address = topology.endpoints[id.index()].address;
+        (address, topology.endpoint_region(id))
+    });
+    let Some(row) = plan.one_way.get(home) else {
+        return HashMap::new();
+    };
+    (entries.chain(endpoints))
+        .filter_map(|(address, region)| Some((address, *row.get(region.index())?)))
+        .collect()
+}
+
 /// An address in a block of its own within the region's first client range, or loopback.
 fn caller_address(topology: &Topology, region: RegionId, n: u16) -> IpAddr {
     let range = topology.client_ranges.iter().find(|c| c.region == region);
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -1,7 +1,7 @@
 use crate::cluster_settings::ClusterSettings;
 use crate::{ClusterSpec, Fault, Node, PortBlock, Process, Proxy, Standins, wait_until};
 use awc::Client;
-use mangospindle_bench::{LoadPlan, Traffic};
+use mangospindle_bench::{LoadPlan, Route, Traffic};
 use mangospindle_model::{EntryId, FailureDomainId, Topology};
 use miette::{IntoDiagnostic, Result, miette};
 use std::collections::BTreeMap;
@@ -173,6 +173,33 @@
         (self.proxy).set_where(|key| inside(key.from) != inside(key.to), fault);
     }
 
+    /// Loses a failure domain: its processes are killed and its endpoints cannot be reached.
+    pub fn lose_domain(&mut self, domain: FailureDomainId) -> Result<()> {
+        let nodes: Vec<Node> = (self.processes.keys().copied())
+            .filter(|node| self.settings.domain(*node) == domain)
+            .collect();
+        for node in nodes {
+            self.kill(node)?;
+        }
+        let lost = |node| node == Node::Endpoints(domain.0);
+        (self.proxy).set_where(|key| lost(key.from) || lost(key.to), Fault::CUT);
+        Ok(())
+    }
+
+    /// One-way latencies from the clients of each region (first position) to each region (second
+    /// position), for [`LoadPlan::one_way`].
+    pub fn client_latencies(&self) -> Vec<Vec<Duration>> {
+        let client = self.settings.spec.example.client_latency();
+        let regions = self.topology().regions.len();
+        let between = |from: usize, to: usize| {
+            let mut links = self.topology().links.iter();
+            let link = links.find(|l| l.from.index() == from && l.to.index() == to);
+            client + Duration::from_micros(link.map_or(0, |l| u64::from(l.latency_us)))
+        };
+        let row = |from| (0..regions).map(|to| between(from, to)).collect();
+        (0..regions).map(row).collect()
+    }
+
     /// Failure domains of a region.
     pub fn domains_of_region(&self, region: u16) -> Vec<FailureDomainId> {
         let domains = self.topology().failure_domains.iter().enumerate();
@@ -193,6 +220,8 @@
             duration,
             callers_per_region: 8,
             deadline: Duration::from_secs(5),
+            route: Route::Lookup,
+            one_way: Vec::new(),
             seed,
         }
     }
--- a/crates/harness/src/cluster_spec.rs
+++ b/crates/harness/src/cluster_spec.rs
@@ -26,6 +26,14 @@
         }
     }
 
+    /// One-way latency between clients and their home region.
+    pub fn client_latency(self) -> Duration {
+        match self {
+            Example::Cantabrica => Duration::from_millis(8),
+            Example::Cristallo => Duration::from_millis(1),
+        }
+    }
+
     /// One-way latency between the failure domains of a region.
     pub fn domain_latency(self) -> Duration {
         match self {
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -38,6 +38,9 @@
     pub failure: Failure,
     /// Processing time of a request, in milliseconds.
     pub service_time_ms: u64,
+    /// Whether the processing time grows in proportion to the requests in progress above the
+    /// slots, as it does where a slot is a core or a worker.
+    pub slow_above_slots: bool,
     /// Number of requests from each other region that take `cold_time_ms` more, because the caches
     /// for that region are cold.
     pub cold_requests: u32,
@@ -52,6 +55,7 @@
             freeze_readings: false,
             failure: Failure::None,
             service_time_ms: 20,
+            slow_above_slots: false,
             cold_requests: 0,
             cold_time_ms: 0,
         }
--- a/crates/standin/src/endpoint_state.rs
+++ b/crates/standin/src/endpoint_state.rs
@@ -42,6 +42,9 @@
             self.report.requests_while_leaving += 1;
         }
         let mut time = self.behaviour.service_time_ms;
+        if self.behaviour.slow_above_slots && self.report.in_progress > self.report.slots {
+            time = time * u64::from(self.report.in_progress) / u64::from(self.report.slots);
+        }
         if let Some(home) = home {
             let seen = self.requests_by_home.entry(home.to_string()).or_default();
             *seen += 1;
