--- a/crates/control/tests/measure.rs
+++ b/crates/control/tests/measure.rs
@@ -293,7 +293,7 @@
                 for number in 1..=SECONDS {
                     let proposed_at = replicas.now();
                     if with_changes {
-                        changes(&proposer, number..number + 1).await;
+                        commit_changes(&proposer, number..number + 1).await;
                         for client in &clients {
                             let mut views = client.subscribe();
                             let newer = views.wait_for(|v| v.config.version > number);
