--- a/crates/control/tests/measure.rs
+++ b/crates/control/tests/measure.rs
@@ -197,7 +197,7 @@
 fn idle() {
     const PERIOD: Duration = Duration::from_secs(20);
     run(async {
-        for count in [3, 5] {
+        for count in [3, 5, 7] {
             let replicas = Replicas::start(count).await;
             let leader = replicas.leader().await;
             sleep(Duration::from_secs(2)).await;
