--- /dev/null
+++ b/crates/control/tests/measure_snapshots.rs
@@ -0,0 +1,52 @@
+//! Measurement of snapshots. Ignored by default; run with `cargo test --release \
+//! -p mangospindle-control --test measure_snapshots -- --ignored --nocapture`.
+
+#[allow(dead_code)] // Shared by test crates that use different parts of it.
+#[path = "support/commands.rs"]
+mod commands;
+
+use commands::{claim, join};
+use mangospindle_model::{Clock, MonotonicClock};
+use mangospindle_settings::Deployment;
+use mangospindle_state::{ClaimOutcome, Command, CommandKind, Outcome, RequestId, State};
+
+/// Time that the encoding of a snapshot takes, during which the replica does nothing else.
+#[test]
+#[ignore = "a measurement, not a check"]
+fn snapshot_encoding() {
+    let text = include_str!("../../../examples/cantabrica/deployment.jsonc");
+    let deployment = Deployment::parse("example", text).unwrap();
+    let bootstrap = CommandKind::Bootstrap {
+        topology: deployment.topology,
+        profiles: deployment.profiles,
+    };
+    for claims in [10_000, 100_000, 1_000_000] {
+        let clock = MonotonicClock::new();
+        let mut state = State::new();
+        let first = Command {
+            kind: bootstrap.clone(),
+            ..join()
+        };
+        state.apply(1, &first);
+        let joining = Command {
+            request: RequestId("second".to_string()),
+            ..join()
+        };
+        state.apply(2, &joining);
+        for number in 0..claims {
+            let outcome = state.apply(number + 3, &claim(number));
+            assert_eq!(outcome, Outcome::Claim(ClaimOutcome::Granted));
+        }
+        let start = clock.now();
+        let copy = state.clone();
+        let copied = clock.now();
+        let bytes = state.encode().len();
+        let encoded = clock.now();
+        drop(copy);
+        println!(
+            "{claims} claims: {bytes} bytes, copy {:?}, encoding {:?}",
+            copied - start,
+            encoded - copied,
+        );
+    }
+}
