--- a/crates/storage/tests/wal/crashes.rs
+++ b/crates/storage/tests/wal/crashes.rs
@@ -75,6 +75,23 @@
             Op::Sync,
         ],
     },
+    Case {
+        name: "entries of removed and of remaining segments are mixed after an installed snapshot",
+        ops: &[
+            Op::HardState(1),
+            Op::Append(1, 4, 1),
+            Op::Sync,
+            Op::Append(5, 6, 1),
+            Op::Sync,
+            Op::Append(7, 8, 1),
+            Op::Sync,
+            Op::Append(9, 10, 1),
+            Op::Sync,
+            Op::Install(6, 2),
+            Op::Append(7, 7, 2),
+            Op::Sync,
+        ],
+    },
 ];
 
 pub const OPTIONS: WalOptions = WalOptions { segment_bytes: 200 };
