Keep slots until endpoints notice a closed connection, no second attempts under pressure

A slot was freed at our deadline, but an endpoint counts its deadline from the arrival of the request; and at once when a connection was closed within an answer.

A slot is now kept for 500 ms after the deadline, or until the endpoint closes, and for 50 ms after a connection was closed within an answer. No second attempt is made within 1 s of a refusal for lack of capacity; the time in the owner's queue does not count as slow; a refused read keeps to open connections.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -62,6 +62,7 @@
             Ok(PermitGuard::new(Arc::clone(shared), permit))
         }
         Err(kind) => {
+            shared.decide(|d, now| d.record_refusal(now, cx.service, kind))?;
             let name = kind.row().name;
             shared
                 .metrics
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -10,6 +10,9 @@
 /// Weight of a new sample in the moving average of first-byte times.
 const LATENCY_ALPHA: f64 = 0.1;
 
+/// How long a refusal for lack of capacity counts. Several queue times of the usual profiles.
+const PRESSURE_TIME: Duration = Duration::from_secs(1);
+
 /// The parts that decide about requests, and the configuration that they follow.
 pub(crate) struct Decisions {
     pub(crate) entry: EntryId,
@@ -24,6 +27,8 @@
     pub(crate) confirmed_at: Option<Duration>,
     /// Moves of reads from silent connections to new ones, by service.
     pub(crate) moves: HashMap<ServiceId, RetryBudget>,
+    /// When a request of the service was last refused for lack of capacity, on the local clock.
+    pressed_at: HashMap<ServiceId, Duration>,
     /// Moving average of first-byte times by service, in seconds.
     first_byte_s: HashMap<ServiceId, f64>,
 }
@@ -41,6 +46,7 @@
             waiting: HashMap::new(),
             confirmed_at: None,
             moves: HashMap::new(),
+            pressed_at: HashMap::new(),
             first_byte_s: HashMap::new(),
         }
     }
@@ -52,6 +58,23 @@
         *mean += LATENCY_ALPHA * (sample - *mean);
     }
 
+    /// Records the refusal of a request.
+    pub(crate) fn record_refusal(&mut self, now: Duration, service: ServiceId, kind: ErrorKind) {
+        if matches!(
+            kind,
+            ErrorKind::NoCapacity | ErrorKind::Shed | ErrorKind::CrossRegionLimit
+        ) {
+            self.pressed_at.insert(service, now);
+        }
+    }
+
+    /// Whether the service lacks capacity, so that a second attempt of a read would take a slot
+    /// from another request.
+    pub(crate) fn is_pressed(&self, now: Duration, service: ServiceId) -> bool {
+        let at = self.pressed_at.get(&service);
+        at.is_some_and(|at| now < *at + PRESSURE_TIME)
+    }
+
     /// Usual time to the first byte of an answer.
     pub(crate) fn usual_first_byte(&self, service: ServiceId) -> Option<Duration> {
         self.first_byte_s
--- a/crates/entry/src/exchange_body.rs
+++ b/crates/entry/src/exchange_body.rs
@@ -1,4 +1,5 @@
 use crate::client::{Exchange, ExchangeError};
+use crate::linger::free_after_close;
 use crate::permit_guard::PermitGuard;
 use bytes::Bytes;
 use futures::Stream;
@@ -36,8 +37,12 @@
     fn end(&mut self, result: RequestResult) {
         // The connection is closed or given back before the slot is free for another request.
         self.exchange = None;
-        if let Some(mut permit) = self.permit.take() {
-            permit.set_result(result);
+        let Some(mut permit) = self.permit.take() else {
+            return;
+        };
+        permit.set_result(result);
+        if matches!(result, RequestResult::Cancelled | RequestResult::TimedOut) {
+            free_after_close(permit);
         }
     }
 }
--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -55,13 +55,16 @@
             Ok(answer) => return Ok(answer),
             Err(refusal) => (refusal, None),
         };
+        // A refusal proves that the connections to owners work.
+        if !refusal.is_not_run() {
+            freshness = Freshness::New;
+        }
         // A read whose body cannot be sent again has one attempt.
         match next.is_some() && wait_for_retry(shared, &mut attempts, &refusal).await {
             true => last = Some(refusal),
             // The endpoint's own error says more than ours.
             false => return answer.ok_or(refusal),
         }
-        freshness = Freshness::New;
     }
 }
 
@@ -176,7 +179,10 @@
         if let Ok(result) = tokio::time::timeout(delay, &mut first).await {
             return result;
         }
-        owner = shared.decide(|d, now| d.router.hedge(now, attempts))?;
+        owner = shared.decide(|d, now| match d.is_pressed(now, cx.service) {
+            true => None,
+            false => d.router.hedge(now, attempts),
+        })?;
         if let Some(owner) = owner {
             shared.metrics.hedged.inc();
             shared
@@ -191,8 +197,10 @@
             if let Ok(result) = tokio::time::timeout(rest, &mut first).await {
                 return result;
             }
+            // Without free capacity, a slow attempt most likely waits in its owner's queue.
+            let pressed = shared.decide(|d, now| d.is_pressed(now, cx.service))?;
             let timed_out = Refusal::from(ErrorKind::DeadlineExceeded);
-            if !wait_for_retry(shared, attempts, &timed_out).await {
+            if pressed || !wait_for_retry(shared, attempts, &timed_out).await {
                 return first.await;
             }
             match choose(shared, cx, attempts, None) {
@@ -212,10 +220,16 @@
 
 /// How long an attempt may take to start its answer before it counts as slow.
 pub(crate) fn slow_after(shared: &Shared, cx: &RequestContext) -> Duration {
-    let usual = shared.decide(|d, _| d.usual_first_byte(cx.service));
+    let usual = shared.decide(|d, _| {
+        let profile = d.config.profile_of(cx.service);
+        let queue = profile.map_or(Duration::ZERO, |p| p.queue_timeout);
+        (queue, d.usual_first_byte(cx.service))
+    });
+    // A request may wait in its owner's queue for a good reason.
     match usual {
-        Ok(Some(usual)) => (usual * SLOW_FACTOR).max(MIN_SLOW),
-        Ok(None) | Err(_) => MIN_SLOW,
+        Ok((queue, Some(usual))) => queue + (usual * SLOW_FACTOR).max(MIN_SLOW),
+        Ok((queue, None)) => queue + MIN_SLOW,
+        Err(_) => MIN_SLOW,
     }
 }
 
@@ -271,6 +285,7 @@
             Ok(answer)
         }
         Err(refusal) => {
+            shared.decide(|d, now| d.record_refusal(now, cx.service, refusal.kind))?;
             let step = Step::Failed(owner, refusal.kind);
             shared.explain.step(&cx.id, shared.now(), step);
             guard.refused(&refusal);
--- a/crates/entry/src/linger.rs
+++ b/crates/entry/src/linger.rs
@@ -5,16 +5,35 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
+/// Time after the deadline for an endpoint that has not closed the connection. It counts its
+/// deadline from the arrival of the request, which is later than ours by the way there.
+const DEADLINE_GRACE: Duration = Duration::from_millis(500);
+
+/// Time that an endpoint has to notice that the connection was closed while it sent its answer.
+const CLOSE_GRACE: Duration = Duration::from_millis(50);
+
 /// Closes the connection of an exchange whose answer has not started, and frees its slot when the
 /// endpoint has closed the connection as well or the request's deadline has passed. Until then the
 /// endpoint may still be working on the request.
 pub(crate) fn linger(exchange: Exchange, permit: PermitGuard) {
-    let left = permit.time_left();
+    let left = permit.time_left() + DEADLINE_GRACE;
     // Without a runtime the process is ending, and its slots with it.
     if tokio::runtime::Handle::try_current().is_ok() {
         actix_rt::spawn(async move {
             let closed = wait_for_close(exchange);
-            let _timed_out = tokio::time::timeout(left.max(Duration::from_millis(1)), closed).await;
+            let _timed_out = tokio::time::timeout(left, closed).await;
+            drop(permit);
+        });
+    }
+}
+
+/// Frees the slot of an exchange whose connection was closed within the answer. An endpoint that
+/// sends notices the close at once, but not before it has arrived.
+pub(crate) fn free_after_close(permit: PermitGuard) {
+    // Without a runtime the process is ending, and its slots with it.
+    if tokio::runtime::Handle::try_current().is_ok() {
+        actix_rt::spawn(async move {
+            tokio::time::sleep(CLOSE_GRACE).await;
             drop(permit);
         });
     }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -241,6 +241,8 @@
 
 /// Takes one move from the service's budget.
 fn take_move(shared: &Shared, cx: &RequestContext) -> bool {
-    let taken = shared.decide(|d, _| d.moves.entry(cx.service).or_default().withdraw());
+    let taken = shared.decide(|d, now| {
+        !d.is_pressed(now, cx.service) && d.moves.entry(cx.service).or_default().withdraw()
+    });
     taken.unwrap_or(false)
 }
