Let shares wait after skipped versions, and quarantine past the deadline

Cause: (1) Entries apply only the newest view of the watch, so that admission can skip versions, although it relied on seeing each one. With limit 10 raised to 13 and then a share moved, an owner that skips the first change would use its new share while another still uses its old one (found by reading; now the case raised_limit_waits_after_skipped_versions). (2) Endpoints count a deadline from the arrival of a request on their own clock, which is later than the quarantine assumed. (3) The stalled stand-in held requests past their deadline, which endpoints of the platform do not; endpoint_stalls counted 6 requests on 3 slots, 3 of them past their deadline.

Ruled out: keeping slots of a stalled endpoint forever.

Before: quarantine of max_deadline exactly; increases at once after a skip. After: 1% and 500 ms more; increases wait 6.6 s in the test's topology.

--- a/crates/quota/src/admission.rs
+++ b/crates/quota/src/admission.rs
@@ -91,14 +91,16 @@
         self.latest
     }
 
-    /// Applies a configuration. Must be called for each version in order, because shares that were
-    /// moved in a skipped version are not known; lower versions are ignored.
+    /// Applies a configuration; lower versions are ignored. Versions may be skipped: increased shares
+    /// then wait as if a share had decreased.
     pub fn update_config(&mut self, now: Duration, config: Arc<Config>) -> Vec<Action> {
         let now = self.advance(now);
         let known = self.entry.index() < config.topology.entries.len();
         if config.version <= self.config.version || !known {
             return Vec::new();
         }
+        // The first configuration has none before it; the waits after a start cover it.
+        let skipped = self.config.version != 0 && config.version != self.config.version + 1;
         self.config = config;
         let topology = &self.config.topology;
         self.region = topology.entry_region(self.entry);
@@ -110,7 +112,7 @@
         // Endpoints first: their positions are those of the shares. Whether the region is limited
         // must be known when ownership is taken over.
         self.add_endpoints(now);
-        self.update_shares(now);
+        self.update_shares(now, skipped);
         self.update_ownership(now);
         self.after_event(now)
     }
--- a/crates/quota/src/admission/ownership.rs
+++ b/crates/quota/src/admission/ownership.rs
@@ -4,6 +4,17 @@
 use mangospindle_state::{EntryStatus, Takeover, preferred_owner};
 use std::time::Duration;
 
+/// Time after the longest deadline for an endpoint that counts it from the arrival of the request.
+const DEADLINE_GRACE: Duration = Duration::from_millis(500);
+
+/// Assumed bound on the drift between two clocks: one part in this many.
+const DRIFT_PARTS: u32 = 100;
+
+/// How long an endpoint may still work on requests that a lost process has sent.
+fn quarantine(max_deadline: Duration) -> Duration {
+    max_deadline + max_deadline / DRIFT_PARTS + DEADLINE_GRACE
+}
+
 impl Admission {
     /// Adds the region's new endpoints. Endpoints are only appended to a topology, so that
     /// positions are the same in all processes.
@@ -58,7 +69,7 @@
     fn take_over(&mut self, now: Duration, position: usize, epoch: u64, takeover: Takeover) {
         let hold = self.region_hold();
         let service = self.endpoints[position].service;
-        let wait = self.config.topology.services[service.index()].max_deadline;
+        let wait = quarantine(self.config.topology.services[service.index()].max_deadline);
         // An earlier process of this entry may have dispatched under any ownership that is seen
         // before the first confirmation.
         let restarted = !self.confirmed_once;
--- a/crates/quota/src/admission/parts.rs
+++ b/crates/quota/src/admission/parts.rs
@@ -23,7 +23,7 @@
     }
 
     /// Recomputes the shares of the region limit and of the cross-region limits.
-    pub(super) fn update_shares(&mut self, now: Duration) {
+    pub(super) fn update_shares(&mut self, now: Duration, skipped: bool) {
         let slots: Vec<u32> = self.endpoints.iter().map(|e| e.slots).collect();
         let region = self.config.topology.regions.get(self.region.index());
         let limit = region.map_or(0, |r| r.max_in_progress);
@@ -31,7 +31,7 @@
         let shares = largest_remainder(limit.min(total), &slots, 0);
         self.region_limited = limit < total;
         let hold = self.region_hold();
-        self.region_shares.update(now, hold, shares);
+        self.region_shares.update(now, hold, shares, skipped);
         let hold = self.cross_hold();
         for service in 0..self.services.len() {
             let key = ServiceId(service as u16);
@@ -45,7 +45,7 @@
             for (home, cross) in self.services[service].cross.iter_mut().enumerate() {
                 let seed = 1 + ((service as u64) << 16 | home as u64);
                 let shares = largest_remainder(limit, &weights, seed);
-                cross.shares.update(now, hold, shares);
+                cross.shares.update(now, hold, shares, skipped);
             }
         }
     }
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -20,7 +20,7 @@
     None,
     /// Answers 500 at once.
     FailFast,
-    /// Never answers.
+    /// Does not answer, and gives up at the deadline as every endpoint does.
     Stall,
     /// Closes the connection in the middle of the answer.
     Truncate,
