Let a load plan set upload deadlines and the entries tried

Cause: a run with a lost region ends only when the uploads to it have failed, after 60 s, and callers gave up after 3 entries. A lookup names the 3 entries of the home region first, so such a caller never leaves a lost region until the lists change.

Ruled out: other values for all loads; the usual ones stay 60 s and 3, so that no test changes.

Conclusion: experiments use 10 s and 6 entries, for the entries and the baselines.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -22,9 +22,6 @@
 /// Chunk size of upload bodies, in bytes.
 const UPLOAD_CHUNK_BYTES: u32 = 32 * 1024;
 
-/// Entries that a caller tries for one request.
-const MAX_ENTRIES_TRIED: usize = 3;
-
 /// A caller with an address of its own.
 pub(crate) struct Caller {
     client: Client,
@@ -34,6 +31,8 @@
     /// One-way latencies.
     delays: Rc<HashMap<SocketAddr, Duration>>,
     direct: Option<Rc<Direct>>,
+    /// Entries or endpoints that are tried for one request.
+    max_tried: usize,
     clock: Arc<dyn Clock>,
     lookups: RefCell<HashMap<String, LookupCache>>,
 }
@@ -52,6 +51,7 @@
         first_entries: Vec<SocketAddr>,
         delays: Rc<HashMap<SocketAddr, Duration>>,
         direct: Option<Rc<Direct>>,
+        max_tried: usize,
         clock: Arc<dyn Clock>,
     ) -> Rc<Self> {
         let connector = Connector::new()
@@ -70,6 +70,7 @@
             first_entries,
             delays,
             direct,
+            max_tried,
             clock,
             lookups: RefCell::default(),
         })
@@ -93,7 +94,7 @@
             Some(direct) => direct.targets(service, self.home),
             None => self.lookup(service).await,
         };
-        for entry in targets.iter().take(MAX_ENTRIES_TRIED) {
+        for entry in targets.iter().take(self.max_tried) {
             let left = deadline.saturating_sub(self.clock.now() - start);
             if left.is_zero() {
                 break;
--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -1,4 +1,4 @@
-use crate::{LoadPlan, Route, Traffic, run_load};
+use crate::{LoadPlan, MAX_TRIED, Route, Traffic, UPLOAD_DEADLINE, run_load};
 use bpaf::{OptionParser, Parser, construct, long};
 use mangospindle_model::Topology;
 use mangospindle_settings::Deployment;
@@ -82,6 +82,8 @@
         duration: Duration::from_secs(command.seconds),
         callers_per_region: command.callers,
         deadline: Duration::from_secs(5),
+        upload_deadline: UPLOAD_DEADLINE,
+        max_tried: MAX_TRIED,
         route: Route::Lookup,
         one_way: Vec::new(),
         seed: command.seed,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -17,7 +17,7 @@
 mod traffic;
 
 pub use command::{Command, command, run_command};
-pub use plan::LoadPlan;
+pub use plan::{LoadPlan, MAX_TRIED, UPLOAD_DEADLINE};
 pub use report::{ClassReport, LatencyMs, LoadReport};
 pub use route::Route;
 pub use run::run_load;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -12,9 +12,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Deadline of uploads; they take as long as the link allows.
-const UPLOAD_DEADLINE: Duration = Duration::from_secs(60);
-
 /// A request that will be started.
 struct Arrival {
     at: Duration,
@@ -45,7 +42,7 @@
         let traffic = plan.traffic[arrival.traffic].clone();
         let (clock, recorder) = (Arc::clone(&clock), Rc::clone(&recorder));
         let deadline = match traffic.kind.class() {
-            RequestClass::Upload => UPLOAD_DEADLINE,
+            RequestClass::Upload => plan.upload_deadline,
             RequestClass::Read | RequestClass::AtMostOnce => plan.deadline,
         };
         running.push(actix_rt::spawn(async move {
@@ -94,6 +91,7 @@
                     entries,
                     delays,
                     direct.cloned(),
+                    plan.max_tried,
                     Arc::clone(clock),
                 )
             })
--- a/crates/harness/examples/experiment/measure.rs
+++ b/crates/harness/examples/experiment/measure.rs
@@ -15,6 +15,14 @@
 /// Profile of the services in the example files.
 const EXAMPLE_PROFILE: &str = "quiet-season";
 
+/// Deadline of uploads. Shorter than usual, because a run ends only when the last upload to a lost
+/// endpoint has failed.
+const UPLOAD_DEADLINE: Duration = Duration::from_secs(10);
+
+/// Entries or endpoints that a caller tries for one request. A lookup names the 3 entries of the
+/// home region first, so that a caller that stops after 3 never leaves a lost region.
+const MAX_TRIED: usize = 6;
+
 /// Part of the run after which the fault begins, so that connections and paces are established.
 const FAULT_AFTER: f64 = 0.25;
 
@@ -58,6 +66,8 @@
 
     let duration = Duration::from_secs(options.seconds);
     let mut plan = cluster.load(options.rate, duration, options.seed);
+    plan.upload_deadline = UPLOAD_DEADLINE;
+    plan.max_tried = MAX_TRIED;
     plan.route = policy.route();
     plan.one_way = cluster.client_latencies();
     options.case.adjust(&mut plan);
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -1,7 +1,7 @@
 use crate::cluster_settings::ClusterSettings;
 use crate::{ClusterSpec, Fault, Node, PortBlock, Process, Proxy, Standins, wait_until};
 use awc::Client;
-use mangospindle_bench::{LoadPlan, Route, Traffic};
+use mangospindle_bench::{LoadPlan, MAX_TRIED, Route, Traffic, UPLOAD_DEADLINE};
 use mangospindle_model::{EntryId, FailureDomainId, Topology};
 use miette::{IntoDiagnostic, Result, miette};
 use std::collections::BTreeMap;
@@ -220,6 +220,8 @@
             duration,
             callers_per_region: 8,
             deadline: Duration::from_secs(5),
+            upload_deadline: UPLOAD_DEADLINE,
+            max_tried: MAX_TRIED,
             route: Route::Lookup,
             one_way: Vec::new(),
             seed,
