Treat a disconnected request as possibly run in the load generator

Cause: awc reports a connection that ends before the answer as a connection error (`ConnectError::Disconnected`), and the load generator counted every connection error as proof that the request did not run, and sent uploads again.

Ruled out, by reading awc: `Disconnected` also stands for requests without a method that expects an answer; it cannot be told apart from a request that was sent, so all of them count as possibly run. Not ruled out by a test: there is none of this rule yet.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -2,6 +2,7 @@
 use crate::direct::Direct;
 use crate::lookup_cache::{LookupAnswer, LookupCache};
 use crate::recorder::Ending;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientResponse, Connector, http::Method};
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
@@ -210,7 +211,9 @@
         };
         match sent {
             Ok(answer) => read_answer(answer, kind, token).await,
-            Err(awc::error::SendRequestError::Connect(_)) => {
+            // `Disconnected` also stands for a connection that ended before the answer, when the
+            // request may have run.
+            Err(SendRequestError::Connect(e)) if !matches!(e, ConnectError::Disconnected) => {
                 Attempt::TryNext(failure("connect", true))
             }
             Err(_) if matches!(kind, TrafficKind::Read { .. }) => {
