Build the entry's error answers from the shared problem body

Cause: entry and administration API each had a builder, with different problem types (urn:mangospindle:error and urn:mangospindle:problem).

Ruled out: keeping two, because a client had to know which process it talks to.

Before: two bodies and two prefixes. After: ProblemBody in crates/http for both; the entry adds request_id.

--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -5,11 +5,8 @@
 use actix_web::http::StatusCode;
 use actix_web::http::header::{CONTENT_TYPE, RETRY_AFTER};
 use actix_web::{HttpResponse, HttpResponseBuilder};
+use mangospindle_http::{PROBLEM_CONTENT_TYPE, ProblemBody};
 use mangospindle_model::ErrorKind;
-use serde_json::json;
-
-/// Start of the `type` member of error answers.
-const TYPE_PREFIX: &str = "urn:mangospindle:error:";
 
 /// Builds the answer for a refusal.
 pub(crate) fn problem(refusal: &Refusal, request_id: &str) -> HttpResponse {
@@ -17,7 +14,7 @@
     let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut answer = HttpResponseBuilder::new(status);
     answer
-        .insert_header((CONTENT_TYPE, "application/problem+json"))
+        .insert_header((CONTENT_TYPE, PROBLEM_CONTENT_TYPE))
         .insert_header((REQUEST_RUN, row.can_have_run.as_str()))
         .insert_header((ENTRY_ERROR, row.name));
     if !request_id.is_empty() {
@@ -30,13 +27,9 @@
     if refusal.kind == ErrorKind::HeadersTooLarge {
         answer.force_close();
     }
-    let body = json!({
-        "type": format!("{TYPE_PREFIX}{}", row.name),
-        "title": row.title,
-        "status": row.status,
-        "detail": refusal.detail,
-        "request_run": row.can_have_run.as_str(),
-        "request_id": request_id,
-    });
-    answer.body(body.to_string())
+    let body = ProblemBody {
+        request_id: Some(request_id.to_string()).filter(|id| !id.is_empty()),
+        ..ProblemBody::new(refusal.kind, refusal.detail.clone())
+    };
+    answer.json(body)
 }
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -38,14 +38,9 @@
 
     /// The body of the answer.
     pub fn body(&self) -> ProblemBody {
-        let row = self.kind.row();
         ProblemBody {
-            problem_type: format!("{}{}", ProblemBody::TYPE_PREFIX, row.name),
-            title: row.title.to_string(),
-            status: row.status,
-            detail: self.detail.clone(),
-            request_run: row.can_have_run,
             current_version: self.current_version,
+            ..ProblemBody::new(self.kind, self.detail.clone())
         }
     }
 }
--- a/crates/http/src/problem_body.rs
+++ b/crates/http/src/problem_body.rs
@@ -1,4 +1,4 @@
-use mangospindle_model::CanHaveRun;
+use mangospindle_model::{CanHaveRun, ErrorKind};
 use serde::{Deserialize, Serialize};
 
 /// Content type of error answers (RFC 9457).
@@ -19,6 +19,9 @@
     pub detail: String,
     /// Whether the request can have run; the same as the `x-request-run` header.
     pub request_run: CanHaveRun,
+    /// Identifier of the request, where requests have one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request_id: Option<String>,
     /// The present version of the item, for a version conflict.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub current_version: Option<u64>,
@@ -28,6 +31,20 @@
     /// First part of every problem type.
     pub const TYPE_PREFIX: &str = "urn:mangospindle:problem:";
 
+    /// The body for a kind and what is wrong with this request.
+    pub fn new(kind: ErrorKind, detail: String) -> Self {
+        let row = kind.row();
+        ProblemBody {
+            problem_type: format!("{}{}", Self::TYPE_PREFIX, row.name),
+            title: row.title.to_string(),
+            status: row.status,
+            detail,
+            request_run: row.can_have_run,
+            request_id: None,
+            current_version: None,
+        }
+    }
+
     /// Stable name of the kind.
     pub fn name(&self) -> &str {
         (self.problem_type.strip_prefix(Self::TYPE_PREFIX)).unwrap_or(&self.problem_type)
