Let the stalled stand-in stay silent after its deadline

Cause: since it honours deadlines, the stand-in answered 504 at its deadline, a fraction of a millisecond before the entry's own.

Ruled out: a fault of the entry: the answer came from the endpoint.

Before: 504 at the deadline. After: the work ends at the deadline and the connection stays silent. Both tests with stalled endpoints pass.

--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -20,7 +20,7 @@
     None,
     /// Answers 500 at once.
     FailFast,
-    /// Does not answer, and gives up at the deadline as every endpoint does.
+    /// Never answers. Work on the request ends at its deadline, as at every endpoint.
     Stall,
     /// Closes the connection in the middle of the answer.
     Truncate,
--- a/crates/standin/src/endpoint_server.rs
+++ b/crates/standin/src/endpoint_server.rs
@@ -97,7 +97,9 @@
         Failure::FailFast => return Ok(HttpResponse::InternalServerError().finish()),
         Failure::Stall => {
             actix_rt::time::sleep(deadline.unwrap_or(MAX_STALL)).await;
-            return Ok(HttpResponse::GatewayTimeout().finish());
+            // The work ends, but the caller hears nothing.
+            drop(guard);
+            return std::future::pending().await;
         }
         Failure::None | Failure::Truncate => {}
     }
