Return to the nearest control replica after 3 to 6 s

Cause: an at-most-once action took 107 ms more than a read at p50, although one round trip between regions is 40 ms. After a start all entries had left their nearest replica while the cluster formed, and kept the way through another region for 30 to 60 s.

Ruled out: the disk (about 1 ms a sync here); the wait for a commit at a follower (the leader answers itself).

From a region without the leader two round trips remain (entry to leader, leader to majority), so the target of one is missed there.

--- a/crates/rpc/src/watch_loop.rs
+++ b/crates/rpc/src/watch_loop.rs
@@ -18,7 +18,7 @@
 /// Time after which a client that uses another replica than the nearest tries the nearest again,
 /// between half and all of it. Short enough that a restart of a replica does not leave its callers
 /// with the longer way for long, long enough that a dead nearest replica costs little.
-const RETURN_TO_NEAREST: Duration = Duration::from_secs(60);
+const RETURN_TO_NEAREST: Duration = Duration::from_secs(6);
 
 /// Why a connection is left.
 enum Left {
