--- a/crates/control/src/admin/wire/profile_wire.rs
+++ b/crates/control/src/admin/wire/profile_wire.rs
@@ -1,6 +1,6 @@
 use super::ms;
 use mangospindle_model::{Hedging, Profile, RequestClass, Weights};
-use mangospindle_state::{VersionedProfile, validate_profile};
+use mangospindle_state::VersionedProfile;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -98,7 +98,7 @@
             queue_timeout: Duration::from_millis(wire.queue_timeout_ms),
             shed_order: wire.shed_order,
         };
-        validate_profile(&profile)?;
+        profile.validate().map_err(|e| e.to_string())?;
         Ok(profile)
     }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -63,5 +63,4 @@
 pub use request_id::RequestId;
 pub use state::State;
 pub use takeover::Takeover;
-pub use validate::validate_profile;
 pub use versioned_profile::VersionedProfile;
--- a/crates/state/src/state/operator.rs
+++ b/crates/state/src/state/operator.rs
@@ -1,9 +1,7 @@
 use super::State;
 use super::apply::{conflict, refused};
 use crate::validate::{valid_name, validate_bootstrap};
-use crate::{
-    AuditChange, Command, Config, ConfigChange, Outcome, VersionedProfile, validate_profile,
-};
+use crate::{AuditChange, Command, Config, ConfigChange, Outcome, VersionedProfile};
 use mangospindle_model::{
     Endpoint, EndpointId, Entry, ErrorKind, Profile, RegionId, ServiceId, Topology,
 };
@@ -38,7 +36,7 @@
         profile: &Profile,
         base_version: u64,
     ) -> Outcome {
-        if let Err(why) = validate_profile(profile) {
+        if let Err(why) = profile.validate().map_err(|e| e.to_string()) {
             return refused(ErrorKind::InvalidChange, &why);
         }
         if let Err(outcome) = self.check_profile_version(&profile.name, base_version) {
