Answer callers and forwarding entries through one function

Ruled out: merging the handlers themselves; they count and log differently.

After: respond.rs. The tests of the entry pass.

--- a/crates/entry/src/internal_api.rs
+++ b/crates/entry/src/internal_api.rs
@@ -5,7 +5,7 @@
 use crate::drain_state::DrainPhase;
 use crate::explain::Step;
 use crate::headers::{self, HOME_REGION, INGRESS, PERMIT};
-use crate::in_progress::{CountedBody, InProgress};
+use crate::in_progress::InProgress;
 use crate::inbound;
 use crate::owner::serve;
 use crate::paced::paced;
@@ -14,6 +14,7 @@
 use crate::remote::{FORWARD_PATH, RESERVE_PATH};
 use crate::request_context::{self, RequestContext};
 use crate::reservations::RESERVATION_TIME;
+use crate::respond::respond;
 use crate::shared::Shared;
 use actix_web::{HttpRequest, HttpResponse, web};
 use mangospindle_model::{ErrorKind, RegionId, RequestClass};
@@ -41,20 +42,7 @@
     let id = request_context::request_id(&req);
     let count = InProgress::new(&shared);
     let result = serve_forwarded(&shared, &id, &req, payload).await;
-    match result {
-        Ok(mut answer) => {
-            let step = Step::Answered(answer.status.as_u16());
-            shared.explain.step(&id, shared.now(), step);
-            answer.body = Box::pin(CountedBody::new(answer.body, count));
-            answer.into_response()
-        }
-        Err(refusal) => {
-            shared
-                .explain
-                .step(&id, shared.now(), Step::Refused(refusal.kind));
-            problem(&refusal, &id)
-        }
-    }
+    respond(&shared, &id, count, result)
 }
 
 async fn serve_forwarded(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -52,6 +52,7 @@
 mod remote;
 mod request_context;
 mod reservations;
+mod respond;
 mod routes;
 mod run;
 mod server;
--- a/crates/entry/src/public_api.rs
+++ b/crates/entry/src/public_api.rs
@@ -5,7 +5,7 @@
 use crate::drain_state::DrainPhase;
 use crate::explain::Step;
 use crate::headers::{self, HOME_REGION, IDEMPOTENCY_KEY, REQUEST_ID};
-use crate::in_progress::{CountedBody, InProgress};
+use crate::in_progress::InProgress;
 use crate::inbound;
 use crate::ingress;
 use crate::lookup::client_address;
@@ -13,6 +13,7 @@
 use crate::problem::problem;
 use crate::refusal::Refusal;
 use crate::request_context::{self, RequestContext};
+use crate::respond::respond;
 use crate::shared::Shared;
 use actix_web::{HttpRequest, HttpResponse, web};
 use mangospindle_model::{ErrorKind, RequestClass};
@@ -34,24 +35,13 @@
     let id = request_context::request_id(&req);
     let count = InProgress::new(&shared);
     let result = serve(&shared, &id, &req, payload).await;
-    match result {
-        Ok(mut answer) => {
-            let step = Step::Answered(answer.status.as_u16());
-            shared.explain.step(&id, shared.now(), step);
-            answer.body = Box::pin(CountedBody::new(answer.body, count));
-            answer.into_response()
-        }
-        Err(refusal) => {
-            let name = refusal.kind.row().name;
-            shared.metrics.refused.with_label_values(&[name]).inc();
-            shared
-                .explain
-                .step(&id, shared.now(), Step::Refused(refusal.kind));
-            event!(Debug, "request_refused", "request" => id, "kind" => name,
-                "detail" => refusal.detail);
-            problem(&refusal, &id)
-        }
+    if let Err(refusal) = &result {
+        let name = refusal.kind.row().name;
+        shared.metrics.refused.with_label_values(&[name]).inc();
+        event!(Debug, "request_refused", "request" => id, "kind" => name,
+            "detail" => refusal.detail);
     }
+    respond(&shared, &id, count, result)
 }
 
 async fn serve(
