Show the progress of drains in the status

Cause: `mangospindlectl drain status` never saw the end of a drain (exit code 7 for ever): control replicas did not know the requests in progress at endpoints. Seen when trying the quick start as an operator would.

Ruled out: sending progress with every watch, because it costs bytes all the time; the replica that is asked now asks the owners of drained endpoints.

Before: "-" in both columns. After: requests in progress and the time of the drain; a new integration test drains an endpoint through the administration API under load and waits for the end.

--- a/crates/control/src/admin/status_report.rs
+++ b/crates/control/src/admin/status_report.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// What a control replica is in the replicated log at present.
@@ -57,6 +58,8 @@
 pub struct EndpointProgress {
     /// Name of the endpoint.
     pub name: String,
+    /// Internal listener of the endpoint's owner, which knows the progress.
+    pub owner: Option<SocketAddr>,
     /// Requests in progress; `None` if not known.
     pub in_progress: Option<u32>,
     /// Time from the start of the drain until no request was in progress.
--- a/crates/control/src/backend.rs
+++ b/crates/control/src/backend.rs
@@ -1,4 +1,5 @@
 use crate::admin::{AdminBackend, StatusReport};
+use crate::drain_progress;
 use crate::replica::Replica;
 use crate::replica::messages::{Ask, GetAudit, GetStatus, Propose};
 use crate::replica::queries::Question;
@@ -79,7 +80,12 @@
 
     fn status(&self) -> LocalBoxFuture<'static, Result<StatusReport, Problem>> {
         let status = self.replica.send(GetStatus);
-        status.map(|status| status.map_err(stopped)).boxed_local()
+        async move {
+            let mut report = status.await.map_err(stopped)?;
+            drain_progress::fill(&mut report.drains).await;
+            Ok(report)
+        }
+        .boxed_local()
     }
 
     fn claim(&self, key: ClaimKey) -> LocalBoxFuture<'static, Result<ClaimOutcome, Problem>> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod audit_export;
 mod backend;
 mod disk;
+mod drain_progress;
 mod health;
 mod http;
 mod limits;
--- a/crates/control/src/replica/report.rs
+++ b/crates/control/src/replica/report.rs
@@ -1,13 +1,30 @@
 //! The status report.
 
 use super::{Phase, Replica};
-use crate::admin::{EntryReport, ReplicaReport, ReplicaRole, StatusReport};
+use crate::admin::{EndpointProgress, EntryReport, ReplicaReport, ReplicaRole, StatusReport};
 use mangospindle_consensus::{ReplicaId, Role};
+use mangospindle_model::EndpointId;
+use mangospindle_state::Config;
 
 fn name(replica: ReplicaId) -> String {
     format!("control-{}", replica.0)
 }
 
+/// The endpoints that an operator drains, with the entries that know their progress.
+fn drains(config: &Config) -> Vec<EndpointProgress> {
+    let topology = &config.topology;
+    let progress = |id: EndpointId| EndpointProgress {
+        name: topology.endpoints[id.index()].name.clone(),
+        owner: (config.owner_of(id)).map(|e| topology.entries[e.index()].internal_address),
+        in_progress: None,
+        drain_time: None,
+    };
+    (topology.endpoint_ids())
+        .filter(|id| config.endpoint_drain[id.index()])
+        .map(progress)
+        .collect()
+}
+
 impl Replica {
     pub(super) fn status(&self) -> StatusReport {
         let now = self.now();
@@ -37,7 +54,7 @@
                 .map(|r| self.replica_report(ReplicaId(r.replica)))
                 .collect(),
             entries,
-            drains: Vec::new(),
+            drains: drains(state.config()),
         }
     }
 
--- a/crates/control/tests/admin/backend.rs
+++ b/crates/control/tests/admin/backend.rs
@@ -107,6 +107,7 @@
                 last_heard: Some(Duration::from_millis(10)),
             }],
             drains: vec![EndpointProgress {
+                owner: None,
                 name: "x0".to_string(),
                 in_progress: Some(2),
                 drain_time: None,
--- a/crates/entry/src/status_api.rs
+++ b/crates/entry/src/status_api.rs
@@ -62,11 +62,16 @@
             .filter(|id| d.config.owner_of(*id) == Some(d.entry))
             .map(|id| {
                 let ownership = d.config.ownership[id.index()];
+                let progress = d.admission.progress(id);
                 json!({
                     "endpoint": d.config.topology.endpoints[id.index()].name,
                     "epoch": ownership.epoch,
                     "takeover": format!("{:?}", ownership.takeover).to_lowercase(),
                     "operator_drain": d.config.endpoint_drain[id.index()],
+                    "in_progress": progress.map(|p| p.in_flight),
+                    "drained_in_ms": progress
+                        .and_then(|p| p.drained_in)
+                        .map(|t| t.as_millis() as u64),
                 })
             })
             .collect();
--- a/crates/quota/src/admission.rs
+++ b/crates/quota/src/admission.rs
@@ -7,7 +7,10 @@
 
 use crate::class_queue::Queued;
 use crate::share_history::ShareHistory;
-use crate::{Action, AdmissionRequest, Decision, EndpointReading, Permit, RequestResult, Ticket};
+use crate::{
+    Action, AdmissionRequest, Decision, EndpointProgress, EndpointReading, Permit, RequestResult,
+    Ticket,
+};
 use endpoint_state::EndpointState;
 use mangospindle_model::{EndpointId, EntryId, ErrorKind, RegionId, ServiceId};
 use mangospindle_state::Config;
@@ -264,6 +267,15 @@
         services.filter_map(|s| s.queue.next_expiry()).min()
     }
 
+    /// Work that is left at an endpoint of the own region.
+    pub fn progress(&self, endpoint: EndpointId) -> Option<EndpointProgress> {
+        let endpoint = &self.endpoints[*self.positions.get(&endpoint)?];
+        Some(EndpointProgress {
+            in_flight: endpoint.in_flight,
+            drained_in: endpoint.drained_in,
+        })
+    }
+
     /// Records a reading of an endpoint.
     pub fn observe(
         &mut self,
--- a/crates/quota/src/admission/endpoint_state.rs
+++ b/crates/quota/src/admission/endpoint_state.rs
@@ -35,7 +35,8 @@
     /// The idle connections were asked to be closed before the release.
     pub(super) closing: bool,
     pub(super) drain_started: Option<Duration>,
-    pub(super) drain_reported: bool,
+    /// Time from the start of the drain until no request was in progress.
+    pub(super) drained_in: Option<Duration>,
 }
 
 impl EndpointState {
@@ -74,7 +75,7 @@
             released: false,
             closing: false,
             drain_started: None,
-            drain_reported: false,
+            drained_in: None,
         }
     }
 
--- a/crates/quota/src/admission/ownership.rs
+++ b/crates/quota/src/admission/ownership.rs
@@ -48,7 +48,7 @@
             if ownership.owner != Some(self.entry) {
                 endpoint.owned = None;
                 endpoint.drain_started = None;
-                endpoint.drain_reported = false;
+                endpoint.drained_in = None;
                 endpoint.stay();
             } else if endpoint.owned != Some(ownership.epoch) {
                 self.take_over(now, position, ownership.epoch, ownership.takeover);
@@ -136,15 +136,15 @@
                 (true, None) => endpoint.drain_started = Some(now),
                 (false, Some(_)) => {
                     endpoint.drain_started = None;
-                    endpoint.drain_reported = false;
+                    endpoint.drained_in = None;
                     endpoint.stats.restart_ramp(now);
                 }
                 _ => {}
             }
             let idle = endpoint.in_flight == 0;
             match endpoint.drain_started {
-                Some(started) if idle && !endpoint.drain_reported => {
-                    endpoint.drain_reported = true;
+                Some(started) if idle && endpoint.drained_in.is_none() => {
+                    endpoint.drained_in = Some(now - started);
                     actions.push(Action::Drained {
                         endpoint: endpoint.id,
                         drain_time: now - started,
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -150,3 +150,43 @@
         }
     }
 }
+
+/// Guards against a drain by an operator that is ignored, or whose end nobody can see.
+#[actix_rt::test]
+async fn operator_sees_the_end_of_a_drain() {
+    let cluster = Cluster::start(ClusterSpec::new(Example::Cantabrica))
+        .await
+        .expect("starts");
+    let name = "galeradas-vasco-2-1";
+    let plan = cluster.load(40.0, Duration::from_secs(8), 5);
+    let load = actix_rt::spawn(async move { run_load(&plan).await });
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    let admin = cluster.admin_address(2);
+    let changed = Client::default()
+        .put(format!("http://{admin}/v1/endpoints/{name}/drain"))
+        .insert_header(("idempotency-key", "drain-1"))
+        .send_json(&serde_json::json!({"drain": true}))
+        .await
+        .expect("answered");
+    assert_eq!(changed.status().as_u16(), 200);
+    actix_rt::time::sleep(DRAIN_BOUND).await;
+    let requests = || async {
+        let report = cluster.standins.report().await.expect("stand-ins report");
+        report.endpoints[name].requests
+    };
+    let then = requests().await;
+    wait_until("the drain is over", Duration::from_secs(10), || async {
+        let status = Client::default().get(format!("http://{admin}/v1/status"));
+        let Ok(mut answer) = status.send().await else {
+            return false;
+        };
+        let status: serde_json::Value = answer.json().await.unwrap_or_default();
+        let drain = &status["drains"][0];
+        drain["name"] == name && drain["in_progress"] == 0 && drain["drain_time_ms"].is_u64()
+    })
+    .await
+    .expect("the status shows the end");
+    let load = load.await.expect("the load ends");
+    assert_eq!(requests().await, then, "{name} got new work");
+    assert!(load.classes["read"].failed.is_empty(), "{load}");
+}
