--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod admin;
 mod audit_export;
 mod backend;
+mod command;
 mod disk;
 mod drain_progress;
 mod health;
@@ -27,6 +28,7 @@
 mod vm_tracker;
 mod wall_clock;
 
+pub use command::{Command, command, run_command};
 pub use run::run;
 pub use vm_tracker::{
     ABSENT_ANSWERS, ABSENT_TIME, ListedVm, MIN_SHARE_PERCENT, VmList, VmState, VmTracker,
