Keep the ports of the examples out of the tests' port blocks

Cause: one quick start found its entries not ready for 60 s while other tests ran. The blocks of the test harness include 21000 and 23000, the ports of the example deployments, and its guard is not known to the quick start.

Ruled out: a fault in the first start of the cluster; six later quick starts came up at once. The failed run kept no logs, so that this is the likely cause and not a proved one.

Before: 22 blocks. After: 20, without those two.

--- a/crates/harness/src/port_block.rs
+++ b/crates/harness/src/port_block.rs
@@ -11,6 +11,9 @@
 /// Number of blocks.
 const BLOCKS: u16 = 22;
 
+/// Blocks of the example deployments, which the quick start uses while tests may run.
+const EXAMPLE_BLOCKS: [u16; 2] = [21_000, 23_000];
+
 /// A block of ports that no other test process uses while this value lives.
 #[derive(Debug)]
 pub struct PortBlock {
@@ -25,6 +28,7 @@
         let start = std::process::id() as u16 % BLOCKS;
         (0..BLOCKS)
             .map(|i| FIRST_PORT + (start + i) % BLOCKS * BLOCK_PORTS)
+            .filter(|base| !EXAMPLE_BLOCKS.contains(base))
             .find_map(|base| {
                 let guard =
                     TcpListener::bind((Ipv4Addr::LOCALHOST, base + BLOCK_PORTS - 1)).ok()?;
