Test a region limit below the slots with real processes

Cause: docs/PROOFS.md listed the region limit as proved by fuzzing only.

Before: no test with processes.

--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -156,3 +156,34 @@
     connections_go_silent: SilenceConnections, 20, 60.0, 0.95;
     two_control_replicas_die: KillControlLeaderCandidates, 20, 60.0, 1.0;
 }
+
+/// Guards against a region above its limit when the limit, and not the slots, is what binds, also
+/// while an entry dies and restarts.
+#[actix_rt::test]
+async fn region_limit_below_the_slots() {
+    const LIMIT: u32 = 18;
+    let mut spec = ClusterSpec::new(Example::Cantabrica);
+    spec.service_time_ms = 100;
+    let replace = |old: &str, new: &str| (old.to_string(), new.to_string());
+    // Short deadlines, because a process waits for the longest one before it uses its part.
+    spec.replace = vec![
+        replace("\"max_in_progress\": 48", "\"max_in_progress\": 18"),
+        replace("\"max_deadline\": \"60s\"", "\"max_deadline\": \"2s\""),
+        replace("\"max_deadline\": \"5s\"", "\"max_deadline\": \"2s\""),
+    ];
+    let mut cluster = Cluster::start(spec).await.expect("cluster starts");
+    actix_rt::time::sleep(Duration::from_secs(7)).await;
+    let plan = cluster.load(250.0, LOAD_TIME, 9);
+    let load = actix_rt::spawn(async move { run_load(&plan).await });
+    actix_rt::time::sleep(LOAD_TIME / 4).await;
+    apply(&mut cluster, Event::KillAndRestartEntry).await;
+    let load = load.await.expect("the load ends");
+    let report = cluster.standins.report().await.expect("stand-ins report");
+    let found = violations(&report, &load);
+    assert!(found.is_empty(), "{found:#?}\n{load}");
+    let used = report.regions.values().map(|r| r.max_in_progress).max();
+    assert!(
+        used >= Some(LIMIT / 2),
+        "the limit was never near: {used:?}\n{load}"
+    );
+}
