Say why the capacity example may panic

Cause: six expect and panic calls stand in an example without a stated reason.

Ruled out: error types there; a measurement that cannot be made has no result.

--- a/crates/quota/examples/capacity/main.rs
+++ b/crates/quota/examples/capacity/main.rs
@@ -1,6 +1,9 @@
 //! Sizes, processor time and memory of an entry's copy of the configuration and of what it builds
 //! from it, at several numbers of entries:
 //! `cargo run --release -p mangospindle-quota --example capacity`.
+//!
+//! This is a development tool. It panics where a measurement would have no meaning, such as without
+//! the kernel's accounting; its input is its own data.
 
 #[allow(dead_code)] // Shared with tests that use other parts of it.
 #[path = "../../../routing/tests/routing/fixture.rs"]
