--- a/crates/entry/src/client/codec.rs
+++ b/crates/client/src/codec.rs
@@ -1,10 +1,9 @@
-use super::{BodyFraming, ExchangeError, RequestHead};
+use crate::{BodyFraming, ExchangeError, RequestHead};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::{RequestHeadType, ServiceConfig};
 use actix_web::http::header::{HOST, HeaderValue};
 use bytes::{Bytes, BytesMut};
-use std::net::SocketAddr;
 use tokio_util::codec::Encoder;
 
 thread_local! {
@@ -13,18 +12,18 @@
 }
 
 /// A codec for one direction of one exchange.
-pub(crate) fn client_codec() -> ClientCodec {
+pub fn client_codec() -> ClientCodec {
     ClientCodec::new(CONFIG.with(ServiceConfig::clone))
 }
 
 /// Encodes the parts of a request with the library's codec.
-pub(crate) struct RequestEncoder(ClientCodec);
+pub struct RequestEncoder(ClientCodec);
 
 impl RequestEncoder {
     /// Starts a request and appends its head to `out`.
-    pub(crate) fn start(
+    pub fn start(
         head: RequestHead,
-        host: SocketAddr,
+        host: &str,
         framing: BodyFraming,
         out: &mut BytesMut,
     ) -> Result<Self, ExchangeError> {
@@ -33,13 +32,13 @@
         wire.method = head.method;
         wire.uri = head.path.parse().map_err(malformed)?;
         wire.headers = head.headers;
-        let host =
-            HeaderValue::from_str(&host.to_string()).map_err(|_| ExchangeError::Malformed)?;
+        let host = HeaderValue::from_str(host).map_err(|_| ExchangeError::Malformed)?;
         wire.headers.insert(HOST, host);
         let size = match framing {
             BodyFraming::None => BodySize::None,
             BodyFraming::Length(n) => BodySize::Sized(n),
-            BodyFraming::Chunked => BodySize::Stream,
+            // A request cannot end with its connection.
+            BodyFraming::Chunked | BodyFraming::UntilClose => BodySize::Stream,
         };
         let mut codec = client_codec();
         codec
@@ -49,11 +48,7 @@
     }
 
     /// Appends a piece of the body, or its end, to `out`.
-    pub(crate) fn body(
-        &mut self,
-        chunk: Option<Bytes>,
-        out: &mut BytesMut,
-    ) -> Result<(), ExchangeError> {
+    pub fn body(&mut self, chunk: Option<Bytes>, out: &mut BytesMut) -> Result<(), ExchangeError> {
         (self.0.encode(Message::Chunk(chunk), out)).map_err(|_| ExchangeError::Malformed)
     }
 }
--- a/crates/entry/src/client/connection.rs
+++ b/crates/client/src/connection.rs
@@ -8,23 +8,23 @@
 
 /// An open connection and the bytes that were read from it but not used.
 #[derive(Debug)]
-pub(crate) struct Connection {
-    pub(crate) stream: TcpStream,
-    pub(crate) buf: BytesMut,
+pub struct Connection {
+    /// The connection.
+    pub stream: TcpStream,
+    /// Bytes that were read but not used.
+    pub buf: BytesMut,
     /// When the other side last answered, on the local clock.
-    pub(crate) proved_at: Duration,
+    pub proved_at: Duration,
     /// When the connection last carried a request of a caller, on the local clock.
-    pub(crate) used_at: Duration,
+    pub used_at: Duration,
+    /// When the other side may close the idle connection, if it has said so.
+    pub usable_until: Option<Duration>,
 }
 
 impl Connection {
     /// Opens a connection. `now` is the time before the call, so that the handshake proves that
     /// the other side was reachable at that time or later.
-    pub(crate) async fn open(
-        address: SocketAddr,
-        now: Duration,
-        timeout: Duration,
-    ) -> io::Result<Self> {
+    pub async fn open(address: SocketAddr, now: Duration, timeout: Duration) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         Ok(Connection {
@@ -32,12 +32,13 @@
             buf: BytesMut::new(),
             proved_at: now,
             used_at: now,
+            usable_until: None,
         })
     }
 
     /// Whether the other side has neither closed the connection nor sent anything unasked, such as
     /// the rest of a late answer.
-    pub(crate) fn is_quiet(&self) -> bool {
+    pub fn is_quiet(&self) -> bool {
         // Asks the socket itself: the readiness that tokio holds can lag behind.
         let mut byte = [MaybeUninit::<u8>::uninit(); 1];
         let peeked = SockRef::from(&self.stream).peek(&mut byte);
--- a/crates/entry/src/client/exchange_error.rs
+++ b/crates/client/src/exchange_error.rs
@@ -1,9 +1,9 @@
-use super::BodyError;
+use crate::BodyError;
 use std::fmt;
 
 /// Why an exchange has no complete answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ExchangeError {
+pub enum ExchangeError {
     /// The connection failed or was closed before the answer started.
     Closed,
     /// The answer is not valid HTTP, or its end could not be recognized.
@@ -16,7 +16,7 @@
 
 impl ExchangeError {
     /// Stable name for logs and metrics.
-    pub(crate) fn as_str(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
             ExchangeError::Closed => "closed",
             ExchangeError::Malformed => "malformed",
--- a/crates/entry/src/client/lease.rs
+++ b/crates/client/src/lease.rs
@@ -1,11 +1,15 @@
-use super::{Connection, Pool, Target};
+use crate::{Connection, Pool};
+use std::hash::Hash;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// The right to use one connection for one request. Dropping it closes the connection.
-pub(crate) struct Lease {
-    pool: Arc<Pool>,
-    target: Target,
+pub struct Lease<T>
+where
+    T: Copy + Eq + Hash,
+{
+    pool: Arc<Pool<T>>,
+    target: T,
     connection: Option<Connection>,
     reused: bool,
     given_back: bool,
@@ -13,9 +17,12 @@
     used_at: Option<Duration>,
 }
 
-impl Lease {
+impl<T> Lease<T>
+where
+    T: Copy + Eq + Hash,
+{
     /// A lease of a connection that the pool held.
-    pub(crate) fn reused(pool: Arc<Pool>, target: Target, connection: Connection) -> Self {
+    pub fn reused(pool: Arc<Pool<T>>, target: T, connection: Connection) -> Self {
         Lease {
             pool,
             target,
@@ -27,7 +34,7 @@
     }
 
     /// A lease of a connection that is counted but still has to be opened.
-    pub(crate) fn unopened(pool: Arc<Pool>, target: Target) -> Self {
+    pub fn unopened(pool: Arc<Pool<T>>, target: T) -> Self {
         Lease {
             pool,
             target,
@@ -39,27 +46,27 @@
     }
 
     /// Whether the connection has carried an earlier request.
-    pub(crate) fn is_reused(&self) -> bool {
+    pub fn is_reused(&self) -> bool {
         self.reused
     }
 
     /// The connection; `None` while it is being opened.
-    pub(crate) fn connection(&mut self) -> Option<&mut Connection> {
+    pub fn connection(&mut self) -> Option<&mut Connection> {
         self.connection.as_mut()
     }
 
     /// Sets the connection that was opened for this lease.
-    pub(crate) fn set_connection(&mut self, connection: Connection) {
+    pub fn set_connection(&mut self, connection: Connection) {
         self.connection = Some(connection);
     }
 
     /// Keeps the time of the last use as it is now: what follows is only a check.
-    pub(crate) fn keep_use_time(&mut self) {
+    pub fn keep_use_time(&mut self) {
         self.used_at = self.connection.as_ref().map(|c| c.used_at);
     }
 
     /// Makes the connection available for another request.
-    pub(crate) fn give_back(mut self) {
+    pub fn give_back(mut self) {
         if let Some(mut connection) = self.connection.take() {
             self.given_back = true;
             connection.used_at = self.used_at.unwrap_or(connection.used_at);
@@ -68,7 +75,10 @@
     }
 }
 
-impl Drop for Lease {
+impl<T> Drop for Lease<T>
+where
+    T: Copy + Eq + Hash,
+{
     fn drop(&mut self) {
         // The connection is closed before it is counted as closed.
         self.connection = None;
--- a/crates/entry/src/client/pool.rs
+++ b/crates/client/src/pool.rs
@@ -1,5 +1,6 @@
-use super::{Connection, Lease, Target};
+use crate::{Connection, Lease};
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -7,14 +8,17 @@
 const MAX_IDLE: usize = 32;
 
 /// Idle connections by target. Connections in use are held by their [`Lease`].
-pub(crate) struct Pool {
-    idle: Mutex<HashMap<Target, Vec<Connection>>>,
-    on_closed: Box<dyn Fn(Target) + Send + Sync>,
+pub struct Pool<T> {
+    idle: Mutex<HashMap<T, Vec<Connection>>>,
+    on_closed: Box<dyn Fn(T) + Send + Sync>,
 }
 
-impl Pool {
+impl<T> Pool<T>
+where
+    T: Copy + Eq + Hash,
+{
     /// Creates an empty pool; `on_closed` is called for each connection that is closed.
-    pub(crate) fn new(on_closed: Box<dyn Fn(Target) + Send + Sync>) -> Arc<Self> {
+    pub fn new(on_closed: Box<dyn Fn(T) + Send + Sync>) -> Arc<Self> {
         Arc::new(Pool {
             idle: Mutex::default(),
             on_closed,
@@ -23,14 +27,19 @@
 
     /// Takes the idle connection that was used last, if its other side has answered at
     /// `proved_after` or later.
-    pub(crate) fn take(self: &Arc<Self>, target: Target, proved_after: Duration) -> Option<Lease> {
+    pub fn take(
+        self: &Arc<Self>,
+        target: T,
+        now: Duration,
+        proved_after: Duration,
+    ) -> Option<Lease<T>> {
         loop {
             let connection = {
                 let mut idle = self.lock();
                 let list = idle.get_mut(&target)?;
                 list.pop_if(|c| c.proved_at >= proved_after)?
             };
-            if connection.is_quiet() {
+            if connection.is_quiet() && connection.usable_until.is_none_or(|until| now < until) {
                 return Some(Lease::reused(Arc::clone(self), target, connection));
             }
             self.close(target, connection);
@@ -38,7 +47,7 @@
     }
 
     /// Takes the connection that has been idle for longest, to check or close it.
-    pub(crate) fn take_oldest(self: &Arc<Self>, target: Target) -> Option<Lease> {
+    pub fn take_oldest(self: &Arc<Self>, target: T) -> Option<Lease<T>> {
         let mut idle = self.lock();
         let list = idle.get_mut(&target).filter(|list| !list.is_empty())?;
         let connection = list.remove(0);
@@ -46,7 +55,7 @@
     }
 
     /// Takes the connections that have not proved alive since `proved_before`.
-    pub(crate) fn take_unproved(self: &Arc<Self>, proved_before: Duration) -> Vec<(Target, Lease)> {
+    pub fn take_unproved(self: &Arc<Self>, proved_before: Duration) -> Vec<(T, Lease<T>)> {
         let mut idle = self.lock();
         let mut unproved = Vec::new();
         for (target, list) in idle.iter_mut() {
@@ -59,14 +68,15 @@
     }
 
     /// Closes all idle connections to a target.
-    pub(crate) fn clear(&self, target: Target) {
+    pub fn clear(&self, target: T) {
         let list = self.lock().remove(&target);
         for connection in list.into_iter().flatten() {
             self.close(target, connection);
         }
     }
 
-    pub(crate) fn put(&self, target: Target, connection: Connection) {
+    /// Keeps a connection for another request.
+    pub fn put(&self, target: T, connection: Connection) {
         let mut idle = self.lock();
         let list = idle.entry(target).or_default();
         // The list stays ordered by the time of the last proof.
@@ -79,16 +89,17 @@
         }
     }
 
-    pub(crate) fn count_closed(&self, target: Target) {
+    /// Counts a connection that its lease has closed.
+    pub fn count_closed(&self, target: T) {
         (self.on_closed)(target);
     }
 
-    fn close(&self, target: Target, connection: Connection) {
+    fn close(&self, target: T, connection: Connection) {
         drop(connection);
         self.count_closed(target);
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Target, Vec<Connection>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<T, Vec<Connection>>> {
         // No code panics while it holds the lock with the map in a broken state.
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/entry/src/client/response_head.rs
+++ b/crates/client/src/response_head.rs
@@ -1,34 +1,44 @@
-use super::ExchangeError;
+use crate::ExchangeError;
 use actix_web::http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_web::http::{Method, StatusCode, Version};
+use std::time::Duration;
 
 /// How the end of a body is recognized.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum BodyFraming {
+pub enum BodyFraming {
     /// There is no body.
     None,
     /// The body has this many bytes.
     Length(u64),
     /// The body has an end mark.
     Chunked,
+    /// The body ends with the connection.
+    UntilClose,
 }
 
 /// The start of an answer.
 #[derive(Clone, Debug)]
-pub(crate) struct ResponseHead {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) framing: BodyFraming,
+pub struct ResponseHead {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers as they arrived.
+    pub headers: HeaderMap,
+    /// How the end of the body is recognized.
+    pub framing: BodyFraming,
     /// `Content-Length` of an answer without a body, such as the answer to `HEAD`.
-    pub(crate) declared: Option<u64>,
-    pub(crate) keep_alive: bool,
+    pub declared: Option<u64>,
+    /// Whether the other side keeps the connection open.
+    pub keep_alive: bool,
+    /// How long the other side keeps the idle connection, if it says so.
+    pub idle_timeout: Option<Duration>,
 }
 
 impl ResponseHead {
     /// Checks a head that was decoded from the answer to a request with this method.
-    pub(crate) fn check(
+    pub fn check(
         head: &actix_http::ResponseHead,
         method: &Method,
+        accepts_unframed: bool,
     ) -> Result<ResponseHead, ExchangeError> {
         let status = head.status;
         let code = status.as_u16();
@@ -47,7 +57,8 @@
             (Some(n), false) => BodyFraming::Length(n),
             (None, true) => BodyFraming::Chunked,
             // The end would be the end of the connection, which a failure looks like as well.
-            (None, false) => return Err(ExchangeError::Malformed),
+            (None, false) if !accepts_unframed => return Err(ExchangeError::Malformed),
+            (None, false) => BodyFraming::UntilClose,
         };
         let close = headers.get_all(CONNECTION).any(|v| {
             (v.to_str().unwrap_or("close").split(','))
@@ -55,6 +66,7 @@
         });
         Ok(ResponseHead {
             status,
+            idle_timeout: idle_timeout(&headers),
             headers,
             framing,
             declared,
@@ -63,6 +75,15 @@
     }
 }
 
+/// The `timeout` of `Keep-Alive`, which is in whole seconds.
+fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let value = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    value.trim().parse().ok().map(Duration::from_secs)
+}
+
 /// The declared length; several declarations are refused even if they agree.
 fn declared_length(headers: &HeaderMap) -> Result<Option<u64>, ExchangeError> {
     let mut values = headers.get_all(CONTENT_LENGTH);
--- a/crates/entry/src/client/upload.rs
+++ b/crates/client/src/upload.rs
@@ -1,18 +1,17 @@
-use super::codec::RequestEncoder;
-use super::{BodyError, BodyFraming, ExchangeError, RequestHead};
+use crate::codec::RequestEncoder;
+use crate::{BodyError, BodyFraming, ExchangeError, RequestHead};
 use bytes::{Buf, Bytes, BytesMut};
 use futures::Stream;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 
 /// The body of a request, chunk by chunk.
-pub(crate) type BodyStream = Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>>>>;
+pub type BodyStream = Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>>>>;
 
 /// A request on its way to the other side. Holds at most one chunk of the body.
-pub(crate) struct Upload {
+pub struct Upload {
     encoder: RequestEncoder,
     out: BytesMut,
     body: Option<BodyStream>,
@@ -22,9 +21,9 @@
 
 impl Upload {
     /// Prepares a request. `body` must be given unless `framing` is `None`.
-    pub(crate) fn new(
+    pub fn new(
         head: RequestHead,
-        host: SocketAddr,
+        host: &str,
         framing: BodyFraming,
         body: Option<BodyStream>,
     ) -> Result<Self, ExchangeError> {
@@ -40,17 +39,17 @@
     }
 
     /// Whether a byte may have left this process.
-    pub(crate) fn has_started(&self) -> bool {
+    pub fn has_started(&self) -> bool {
         self.written > 0
     }
 
     /// Whether the whole request was written.
-    pub(crate) fn is_finished(&self) -> bool {
+    pub fn is_finished(&self) -> bool {
         self.out.is_empty() && self.body.is_none()
     }
 
     /// Writes as much as the connection and the body's source allow; ready at the end.
-    pub(crate) fn poll_write(
+    pub fn poll_write(
         &mut self,
         stream: &mut TcpStream,
         cx: &mut Context<'_>,
--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -1,10 +1,10 @@
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
-/// Number of a control replica, from its settings.
+/// Number of a control replica, from its settings or from its address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct ReplicaId(pub u16);
+pub struct ReplicaId(pub u32);
 
 /// Random identifier of a data directory, drawn when the directory is created. A replica that
 /// returns with an empty disk has a new one, so that it cannot vote under its old identity.
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -1,4 +1,4 @@
-use crate::{Entry, Formation, Member, Snapshot};
+use crate::{Entry, Formation, Member, ReplicaId, Snapshot};
 use serde::{Deserialize, Serialize};
 
 /// A message between replicas.
@@ -91,5 +91,8 @@
         formation: Option<Formation>,
         /// Whether the sender's storage has ever been part of a membership.
         formed: bool,
+        /// Replicas of the sender's membership. A replica that only knows some of them, such as
+        /// one at a new address, reaches the leader through them.
+        members: Vec<ReplicaId>,
     },
 }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -66,6 +66,8 @@
     clock_origin_ms: u64,
     greetings: BTreeMap<ReplicaId, Greeting>,
     next_hello: Duration,
+    /// Members that other replicas have named, for `Hello`.
+    contacts: BTreeSet<ReplicaId>,
     reported_role: Option<Role>,
     hard_state_changed: bool,
     messages: Vec<Message>,
@@ -104,6 +106,7 @@
             clock_origin_ms,
             greetings: BTreeMap::new(),
             next_hello: now,
+            contacts: BTreeSet::new(),
             reported_role: None,
             hard_state_changed: false,
             messages: Vec::new(),
@@ -223,9 +226,14 @@
             term,
             kind,
         } = message;
-        if let MessageKind::Hello { formation, formed } = kind {
+        if let MessageKind::Hello {
+            formation,
+            formed,
+            members,
+        } = kind
+        {
             if to.replica == self.member().replica {
-                self.receive_hello(now, from, formation, formed);
+                self.receive_hello(now, from, formation, formed, members);
             }
             return;
         }
--- a/crates/consensus/src/node/forming.rs
+++ b/crates/consensus/src/node/forming.rs
@@ -19,6 +19,7 @@
 use crate::{
     Entry, Formation, Member, Membership, Message, MessageKind, Payload, ReplicaId, StorageId,
 };
+use std::collections::BTreeSet;
 use std::time::Duration;
 use uuid::Uuid;
 
@@ -38,16 +39,17 @@
         }
         self.next_hello = now + self.settings.timing.heartbeat;
         self.greet_all();
-        if !self.is_formed() {
+        if !self.is_formed() && self.settings.may_form {
             self.try_to_form();
         }
     }
 
     fn greet_all(&mut self) {
-        for replica in self.settings.replicas.clone() {
-            if replica != self.member().replica {
-                self.send_hello(replica);
-            }
+        let own = self.member().replica;
+        let configured = self.settings.replicas.iter().copied();
+        let targets: BTreeSet<ReplicaId> = configured.chain(self.contacts.clone()).collect();
+        for replica in targets.into_iter().filter(|r| *r != own) {
+            self.send_hello(replica);
         }
     }
 
@@ -59,6 +61,7 @@
         let kind = MessageKind::Hello {
             formation: self.hard_state.formation.clone(),
             formed: self.is_formed(),
+            members: self.membership().members().map(|m| m.replica).collect(),
         };
         self.messages.push(Message {
             from: self.member(),
@@ -74,6 +77,7 @@
         sender: Member,
         formation: Option<Formation>,
         formed: bool,
+        members: Vec<ReplicaId>,
     ) {
         if sender.replica == self.member().replica {
             return;
@@ -84,6 +88,10 @@
             }
             return self.admit(now, sender);
         }
+        self.contacts.extend(members);
+        if !self.settings.may_form {
+            return;
+        }
         if let Some(proposal) = &formation {
             self.consider(proposal);
         }
--- a/crates/consensus/src/node/reconfigure.rs
+++ b/crates/consensus/src/node/reconfigure.rs
@@ -53,7 +53,8 @@
     }
 
     /// A replica reports a storage that is in no membership. It becomes a learner if it stands for
-    /// a voter or learner of the same replica that no longer answers. An old `Hello` that arrives
+    /// a voter or learner of the same replica that no longer answers, or if the membership is open
+    /// and names no storage of this replica. An old `Hello` that arrives
     /// late therefore changes nothing while the member answers.
     pub(super) fn admit(&mut self, now: Duration, newcomer: Member) {
         let membership = self.membership();
@@ -61,7 +62,10 @@
             .members()
             .filter(|m| m.replica == newcomer.replica)
             .collect();
-        let lost = !former.is_empty() && former.iter().all(|m| !self.answers(now, *m));
+        let lost = match former.is_empty() {
+            true => self.settings.open,
+            false => former.iter().all(|m| !self.answers(now, *m)),
+        };
         if !lost || membership.contains(newcomer) {
             return;
         }
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -8,6 +8,11 @@
     pub member: Member,
     /// All configured replicas, this one included. They form a new cluster and receive `Hello`.
     pub replicas: Vec<ReplicaId>,
+    /// Whether replicas that are not configured may join as voters.
+    pub open: bool,
+    /// Whether this replica may take part in forming a cluster. A replica that returns with an
+    /// empty disk after the first start of the system must not.
+    pub may_form: bool,
     /// Intervals and limits.
     pub timing: Timing,
 }
--- a/crates/consensus/tests/cluster/operations.rs
+++ b/crates/consensus/tests/cluster/operations.rs
@@ -124,7 +124,7 @@
                 self.step(replica, vec![Input::Compact { index, data }]);
             }
             Op::Transfer(to) => {
-                let to = Some(ReplicaId(to as u16));
+                let to = Some(ReplicaId(to as u32));
                 if let Some(leader) = self.leader() {
                     self.step(leader, vec![Input::TransferLeadership { to }]);
                 }
--- a/crates/consensus/tests/cluster/simulation.rs
+++ b/crates/consensus/tests/cluster/simulation.rs
@@ -56,7 +56,9 @@
     let (shortest, longest) = if hasty { (140, 160) } else { (500, 1000) };
     NodeSettings {
         member,
-        replicas: (0..count as u16).map(ReplicaId).collect(),
+        replicas: (0..count as u32).map(ReplicaId).collect(),
+        open: false,
+        may_form: true,
         timing: Timing {
             max_in_flight_bytes: WINDOW_BYTES,
             max_in_flight_appends: 8,
@@ -132,7 +134,7 @@
 
     pub fn new_member(&mut self, replica: usize) -> Member {
         Member {
-            replica: ReplicaId(replica as u16),
+            replica: ReplicaId(replica as u32),
             storage: StorageId(Uuid::from_u128(self.random.random())),
         }
     }
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -6,14 +6,14 @@
 
 const NOW: Duration = Duration::from_secs(5);
 
-fn member(replica: u16) -> Member {
+fn member(replica: u32) -> Member {
     Member {
         replica: ReplicaId(replica),
         storage: StorageId(Uuid::from_u128(u128::from(replica) + 1)),
     }
 }
 
-fn membership(replicas: &[u16]) -> Membership {
+fn membership(replicas: &[u32]) -> Membership {
     Membership {
         voters: replicas.iter().map(|r| member(*r)).collect(),
         learners: Vec::new(),
@@ -74,6 +74,7 @@
             complete: false,
         }),
         formed: false,
+        members: Vec::new(),
     }
 }
 
@@ -99,6 +100,8 @@
     let settings = NodeSettings {
         member: member(0),
         replicas: (0..3).map(ReplicaId).collect(),
+        open: false,
+        may_form: true,
         timing: Timing::default(),
     };
     Node::new(settings, recovered, 1, Duration::ZERO).expect("a sound log")
@@ -118,7 +121,7 @@
     node
 }
 
-fn change(number: u64, replicas: &[u16]) -> Input {
+fn change(number: u64, replicas: &[u32]) -> Input {
     Input::ChangeMembership {
         id: ProposalId(number),
         membership: membership(replicas),
--- a/crates/control/src/admin/wire/audit_wire.rs
+++ b/crates/control/src/admin/wire/audit_wire.rs
@@ -111,6 +111,8 @@
             ("set_region_limit", name)
         }
         ConfigChange::SetEndpointDrain(id, _) => ("set_endpoint_drain", endpoint_name(config, *id)),
+        ConfigChange::UpdateRoutes(c) => ("update_routes", c.number.to_string()),
+        ConfigChange::SetEvacuation(name, _) => ("set_evacuation", name.clone()),
         ConfigChange::AddEntry(entry) => ("add_entry", entry.name.clone()),
         ConfigChange::AddEndpoint(endpoint) => ("add_endpoint", endpoint.name.clone()),
         ConfigChange::SetEntryStatus(id, _) => ("set_entry_status", entry_name(config, *id)),
@@ -126,6 +128,12 @@
         ConfigChange::AssignProfile(_, name) => json!(name),
         ConfigChange::SetRegionLimit(_, limit) => json!(limit),
         ConfigChange::SetEndpointDrain(_, drain) => json!(drain),
+        ConfigChange::UpdateRoutes(c) => json!({
+            "number": c.number,
+            "updated": c.updated.len(),
+            "removed": c.removed.len(),
+        }),
+        ConfigChange::SetEvacuation(_, on) => json!(on),
         ConfigChange::AddEntry(e) => json!({
             "public_address": e.public_address,
             "internal_address": e.internal_address,
--- a/crates/control/src/backend.rs
+++ b/crates/control/src/backend.rs
@@ -34,6 +34,16 @@
     Problem::new(ErrorKind::NoQuorum, "this replica is stopping")
 }
 
+impl ReplicaBackend {
+    /// The table of routes as an operator sent it, confirmed by a majority.
+    pub(crate) fn route_document(&self) -> LocalBoxFuture<'static, Result<String, Problem>> {
+        let (reply, document) = oneshot::channel();
+        let question = Question::RouteDocument(reply);
+        self.replica.do_send(Ask(question));
+        async move { document.await.map_err(stopped)?.ok_or_else(unconfirmed) }.boxed_local()
+    }
+}
+
 impl AdminBackend for ReplicaBackend {
     fn propose(&self, command: Command) -> LocalBoxFuture<'static, Result<Outcome, Problem>> {
         let refused = |detail: &str| Err(Problem::new(ErrorKind::NoQuorum, detail));
--- /dev/null
+++ b/crates/control/src/fleet_view.rs
@@ -0,0 +1,95 @@
+//! Spreading the view of the fleet between replicas, and reading the platform's list of endpoints.
+
+use crate::options::Replicas;
+use crate::peers::Peers;
+use crate::published::Published;
+use futures::future::{LocalBoxFuture, join_all};
+use mangospindle_consensus::Role;
+use mangospindle_fleet::{EndpointList, EndpointRecord, ExchangeReply, ExchangeRequest};
+use mangospindle_model::Clock;
+use mangospindle_telemetry::event;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Interval between two readings of the list by the reader.
+const READ_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Age of the list from which a replica that does not lead reads it itself. Above the age that a
+/// list has when it arrives from the leader's replica.
+const STALE_LIST: Duration = Duration::from_millis(2200);
+
+/// Interval between two exchanges with the other replicas.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(600);
+
+/// The platform's list of endpoints.
+pub trait EndpointSource: 'static {
+    /// Reads the whole list. The error is for people.
+    fn read(&self) -> LocalBoxFuture<'_, Result<Vec<EndpointRecord>, String>>;
+}
+
+/// Reads the list while this replica leads, or when no recent list arrives from another one, until
+/// the future is dropped.
+pub(crate) async fn read_endpoints<S>(source: S, published: Rc<Published>, clock: Arc<dyn Clock>)
+where
+    S: EndpointSource,
+{
+    let mut reachable = true;
+    loop {
+        tokio::time::sleep(READ_INTERVAL).await;
+        let started = clock.now();
+        let leads = published.role.get() == Role::Leader && !published.cut_off(started);
+        let age = published.fleet().list_age(started);
+        if !leads && age.is_some_and(|age| age < STALE_LIST) {
+            continue;
+        }
+        let result = source.read().await;
+        if result.is_ok() != reachable {
+            reachable = result.is_ok();
+            event!(Info, "endpoint_list_reachable_changed", "reachable" => reachable);
+        }
+        match result {
+            Ok(endpoints) => {
+                let list = EndpointList::new(endpoints, started);
+                published.set_endpoints(list);
+            }
+            Err(e) => event!(Warn, "endpoint_list_unreadable", "reason" => e),
+        }
+    }
+}
+
+/// Pulls the views of the other replicas until the future is dropped.
+pub(crate) async fn exchange_views(
+    peers: Rc<Peers>,
+    replicas: Replicas,
+    published: Rc<Published>,
+    clock: Arc<dyn Clock>,
+) {
+    loop {
+        tokio::time::sleep(EXCHANGE_INTERVAL).await;
+        let members = match published.members.borrow().is_empty() {
+            true => replicas.configured(),
+            false => published.members.borrow().clone(),
+        };
+        let links = members.into_iter().filter_map(|m| peers.link(m));
+        let pulls = links.map(|link| {
+            let (published, clock) = (&published, &clock);
+            async move {
+                let request = ExchangeRequest {
+                    entry: None,
+                    wants_entries: true,
+                    known_list: published.fleet().list().map_or(0, |l| l.digest),
+                };
+                let asked_at = clock.now();
+                let Some(reply) = link.exchange(&request.encode()).await else {
+                    return;
+                };
+                match ExchangeReply::decode(&reply) {
+                    Ok(reply) => published.merge_view(clock.now(), asked_at, reply),
+                    Err(e) => log::warn!("{e}"),
+                }
+            }
+        });
+        join_all(pulls).await;
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,20 +16,29 @@
 mod command;
 mod disk;
 mod drain_progress;
+mod fleet_view;
 mod health;
 mod http;
 mod limits;
 mod metrics;
+mod operator_handle;
+mod options;
+mod peers;
 mod published;
 mod replica;
 mod run;
+mod running_replica;
 mod service;
 mod vm_list;
 mod vm_tracker;
 mod wall_clock;
 
 pub use command::{Command, command, run_command};
+pub use fleet_view::EndpointSource;
+pub use operator_handle::OperatorHandle;
+pub use options::{FirstConfig, ReplicaOptions, Replicas};
 pub use run::run;
+pub use running_replica::RunningReplica;
 pub use vm_tracker::{
     ABSENT_ANSWERS, ABSENT_TIME, ListedVm, MIN_SHARE_PERCENT, VmList, VmState, VmTracker,
 };
--- a/crates/control/src/published.rs
+++ b/crates/control/src/published.rs
@@ -1,10 +1,13 @@
-use mangospindle_consensus::{Member, Role};
+use mangospindle_consensus::{Member, ReplicaId, Role};
+use mangospindle_fleet::{EndpointList, ExchangeReply, Fleet};
 use mangospindle_model::EntryId;
 use mangospindle_rpc::{CUT_OFF_AGE, EntryReport};
 use mangospindle_state::{EntryStatus, State};
+use mangospindle_telemetry::event;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -26,6 +29,10 @@
     pub(crate) watches: Cell<usize>,
     /// Version and time of the latest watch of each entry.
     pub(crate) entries: RefCell<BTreeMap<EntryId, (u64, Duration)>>,
+    /// Replicas of the present membership.
+    pub(crate) members: RefCell<Vec<ReplicaId>>,
+    /// Entries and endpoints; also read by the threads that serve HTTP.
+    fleet: Arc<Mutex<Fleet>>,
 }
 
 impl Published {
@@ -40,9 +47,38 @@
             version: watch::Sender::new((version, 0)),
             watches: Cell::new(0),
             entries: RefCell::default(),
+            members: RefCell::default(),
+            fleet: Arc::default(),
         })
     }
 
+    /// Entries and endpoints.
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        // No code panics while it holds the lock with the view in a broken state.
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The view of the fleet, for another thread.
+    pub(crate) fn shared_fleet(&self) -> Arc<Mutex<Fleet>> {
+        Arc::clone(&self.fleet)
+    }
+
+    /// Takes a list of endpoints that this replica read.
+    pub(crate) fn set_endpoints(&self, list: EndpointList) {
+        let mut fleet = self.fleet();
+        let known = fleet.list().map(|l| l.digest);
+        if known != Some(list.digest) {
+            event!(Info, "endpoint_list_changed", "endpoints" => list.endpoints.len(),
+                "digest" => format!("{:016x}", list.digest));
+        }
+        fleet.set_list(list);
+    }
+
+    /// Takes over the view of another replica.
+    pub(crate) fn merge_view(&self, now: Duration, asked_at: Duration, reply: ExchangeReply) {
+        self.fleet().merge(now, asked_at, reply);
+    }
+
     /// How long ago the state was known to be current.
     pub(crate) fn confirmed_age(&self, now: Duration) -> Option<Duration> {
         self.confirmed_at.get().map(|at| now.saturating_sub(at))
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -15,18 +15,17 @@
 use crate::disk::Disk;
 use crate::limits::{LEADER_DUTIES, SNAPSHOT_PERCENT, TICK};
 use crate::metrics::Metrics;
+use crate::options::ReplicaOptions;
+use crate::peers::Peers;
 use crate::published::Published;
 use crate::wall_clock::WallClock;
 use actix::{Actor, AsyncContext, Context};
 use gate::Gate;
-use mangospindle_consensus::{Input, Node, ReplicaId};
+use mangospindle_consensus::{Input, Node};
 use mangospindle_model::Clock;
-use mangospindle_rpc::PeerLink;
-use mangospindle_settings::ControlSettings;
 use proposals::Proposals;
 use queries::Queries;
 use rand::Rng;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,14 +33,14 @@
 
 /// What a [`Replica`] is built from.
 pub(crate) struct Parts {
-    pub(crate) settings: Arc<ControlSettings>,
+    pub(crate) options: ReplicaOptions,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) wall_clock: Arc<dyn WallClock>,
     pub(crate) node: Node,
     pub(crate) published: Rc<Published>,
     pub(crate) disk: Disk,
     pub(crate) audit: AuditExport,
-    pub(crate) peers: BTreeMap<ReplicaId, PeerLink>,
+    pub(crate) peers: Rc<Peers>,
     pub(crate) metrics: Metrics,
     /// Position and size of the snapshot on disk.
     pub(crate) snapshot: Option<(u64, usize)>,
--- a/crates/control/src/replica/drive.rs
+++ b/crates/control/src/replica/drive.rs
@@ -102,7 +102,7 @@
 
     /// Sends a message to its replica. Lost messages are the consensus node's concern.
     pub(super) fn send(&self, message: Message) {
-        if let Some(peer) = self.parts.peers.get(&message.to.replica) {
+        if let Some(peer) = self.parts.peers.link(message.to.replica) {
             peer.send(message);
         }
     }
@@ -118,6 +118,8 @@
             .set(age.map(|age| now.saturating_sub(age)));
         published.role.set(node.role());
         published.leader.set(node.leader());
+        let members = node.membership().members().map(|m| m.replica);
+        *published.members.borrow_mut() = members.collect();
         published.publish_version();
         self.queries
             .answer(&published.state.borrow(), published.confirmed_at.get(), now);
--- a/crates/control/src/replica/duties.rs
+++ b/crates/control/src/replica/duties.rs
@@ -2,6 +2,7 @@
 
 use super::{Phase, Replica};
 use crate::limits::{BOOTSTRAP_RETRY, EXPIRE_INTERVAL};
+use crate::options::FirstConfig;
 use actix::Context;
 use mangospindle_consensus::Role;
 use mangospindle_settings::Deployment;
@@ -33,15 +34,14 @@
     }
 
     fn bootstrap(&mut self, cx: &mut Context<Self>) {
-        let path = &self.parts.settings.deployment;
-        match Deployment::load(path) {
-            Ok(deployment) => {
-                event!(Info, "bootstrap_proposed", "deployment" => path.display());
-                let kind = CommandKind::Bootstrap {
-                    topology: deployment.topology,
-                    profiles: deployment.profiles,
-                };
-                self.propose_own(kind, cx);
+        let first = match &self.parts.options.first_config {
+            FirstConfig::File(path) => Deployment::load(path).map(|d| (d.topology, d.profiles)),
+            FirstConfig::Empty => Ok(Default::default()),
+        };
+        match first {
+            Ok((topology, profiles)) => {
+                event!(Info, "bootstrap_proposed", "entries" => topology.entries.len());
+                self.propose_own(CommandKind::Bootstrap { topology, profiles }, cx);
             }
             Err(e) => event!(Error, "bootstrap_failed", "reason" => e),
         }
--- a/crates/control/src/replica/handlers.rs
+++ b/crates/control/src/replica/handlers.rs
@@ -142,7 +142,7 @@
     /// Forwards a proposal to the leader.
     fn forward(&mut self, message: Propose, cx: &mut Context<Self>) {
         let leader = self.parts.node.leader();
-        let Some(peer) = leader.and_then(|l| self.parts.peers.get(&l.replica)) else {
+        let Some(peer) = leader.and_then(|l| self.parts.peers.link(l.replica)) else {
             return self.refuse(message.reply);
         };
         let answer = peer.propose(&message.command);
--- a/crates/control/src/replica/queries.rs
+++ b/crates/control/src/replica/queries.rs
@@ -28,6 +28,8 @@
     Claim(ClaimKey, oneshot::Sender<QueryResult>),
     /// The configuration; `None` if it could not be confirmed.
     Config(oneshot::Sender<Option<Arc<Config>>>),
+    /// The table of routes as the operator sent it; `None` if it could not be confirmed.
+    RouteDocument(oneshot::Sender<Option<String>>),
 }
 
 impl Question {
@@ -39,6 +41,9 @@
             Question::Config(reply) => {
                 let _ = reply.send(Some(Arc::new(state.config().clone())));
             }
+            Question::RouteDocument(reply) => {
+                let _ = reply.send(Some(state.route_document().to_string()));
+            }
         }
     }
 
@@ -50,6 +55,9 @@
             Question::Config(reply) => {
                 let _ = reply.send(None);
             }
+            Question::RouteDocument(reply) => {
+                let _ = reply.send(None);
+            }
         }
     }
 }
--- a/crates/control/src/replica/report.rs
+++ b/crates/control/src/replica/report.rs
@@ -5,6 +5,7 @@
 use mangospindle_consensus::{ReplicaId, Role};
 use mangospindle_model::EndpointId;
 use mangospindle_state::Config;
+use std::collections::BTreeSet;
 
 fn name(replica: ReplicaId) -> String {
     format!("control-{}", replica.0)
@@ -50,14 +51,21 @@
             applied_index: self.applied.0,
             version: state.config().version,
             confirmation_age: published.confirmed_age(now),
-            replicas: (self.parts.settings.replicas.iter())
-                .map(|r| self.replica_report(ReplicaId(r.replica)))
+            replicas: (self.known_replicas().into_iter())
+                .map(|r| self.replica_report(r))
                 .collect(),
             entries,
             drains: drains(state.config()),
         }
     }
 
+    /// The configured replicas and those of the membership.
+    fn known_replicas(&self) -> BTreeSet<ReplicaId> {
+        let members = self.parts.node.membership().members().map(|m| m.replica);
+        let configured = self.parts.options.replicas.configured();
+        configured.into_iter().chain(members).collect()
+    }
+
     /// What this replica knows of a replica. Only the own role and the leader are known for sure.
     fn replica_report(&self, replica: ReplicaId) -> ReplicaReport {
         let node = &self.parts.node;
--- /dev/null
+++ b/crates/control/src/running_replica.rs
@@ -0,0 +1,184 @@
+use crate::audit_export::AuditExport;
+use crate::backend::ReplicaBackend;
+use crate::disk::Disk;
+use crate::fleet_view::{EndpointSource, exchange_views, read_endpoints};
+use crate::limits::KEEP_ENTRIES;
+use crate::metrics::Metrics;
+use crate::operator_handle::OperatorHandle;
+use crate::options::{ReplicaOptions, Replicas};
+use crate::peers::Peers;
+use crate::published::Published;
+use crate::replica::messages::{DiskDone, Stop};
+use crate::replica::{Parts, Replica};
+use crate::service::ReplicaService;
+use crate::vm_list::poll_vm_list;
+use crate::wall_clock::SystemWallClock;
+use actix::{Addr, AsyncContext, Context};
+use mangospindle_consensus::{Member, Node, NodeSettings, Timing};
+use mangospindle_model::Clock;
+use mangospindle_rpc::{LinkCounters, serve};
+use mangospindle_state::State;
+use mangospindle_storage::{Wal, WalOptions};
+use mangospindle_telemetry::event;
+use miette::{IntoDiagnostic, Result, WrapErr};
+use prometheus::Registry;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+/// Longest time from the start of a stop to its end.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time for answers that were handed to connections.
+const STOP_FLUSH: Duration = Duration::from_millis(100);
+
+/// A control replica and its tasks on the current thread.
+pub struct RunningReplica {
+    replica: Addr<Replica>,
+    published: Rc<Published>,
+    registry: Registry,
+}
+
+impl RunningReplica {
+    /// Recovers what is on disk and starts all tasks. Must be called on an actix system.
+    pub async fn start(options: ReplicaOptions, clock: Arc<dyn Clock>) -> Result<Self> {
+        std::fs::create_dir_all(&options.data_dir)
+            .into_diagnostic()
+            .wrap_err("cannot create the data directory")?;
+        let (wal, recovered) = Wal::open(&options.data_dir, WalOptions::default())
+            .into_diagnostic()
+            .wrap_err("cannot open the log")?;
+        let (audit, audit_file) = AuditExport::open(&options.data_dir)
+            .into_diagnostic()
+            .wrap_err("cannot open the exported audit trail")?;
+        let snapshot = recovered.snapshot.as_ref().map(|s| (s.index, s.data.len()));
+        let state = match &recovered.snapshot {
+            Some(snapshot) => State::decode(&snapshot.data).into_diagnostic()?,
+            None => State::new(),
+        };
+        event!(
+            Info,
+            "recovered",
+            "storage" => wal.storage_id().0,
+            "snapshot_index" => snapshot.map_or(0, |s| s.0),
+            "entries" => recovered.entries.len(),
+            "term" => recovered.hard_state.term,
+        );
+        let settings = node_settings(&options, &wal);
+        let node = Node::new(settings, recovered, rand::random(), clock.now())
+            .into_diagnostic()
+            .wrap_err("cannot start from what is on disk")?;
+        let listener = TcpListener::bind(options.rpc_listen)
+            .await
+            .into_diagnostic()
+            .wrap_err("cannot open the RPC listener")?;
+        let registry = Registry::new();
+        let peer_counters = LinkCounters::default();
+        let server_counters = LinkCounters::default();
+        let published = Published::new(state);
+        let replicas = options.replicas.clone();
+        let peers = Peers::new(
+            options.replica,
+            replicas.clone(),
+            Arc::clone(&clock),
+            peer_counters.clone(),
+        );
+        let cx = Context::<Replica>::new();
+        let replica = cx.address();
+        let disk_done = replica.clone();
+        let disk = Disk::start(wal, audit_file, Arc::clone(&clock), move |result| {
+            disk_done.do_send(DiskDone(result));
+        })
+        .into_diagnostic()?;
+        event!(Info, "started", "replica" => options.replica.0, "rpc" => options.rpc_listen);
+        let parts = Parts {
+            options,
+            clock: Arc::clone(&clock),
+            wall_clock: Arc::new(SystemWallClock),
+            node,
+            published: Rc::clone(&published),
+            disk,
+            audit,
+            peers: Rc::clone(&peers),
+            metrics: Metrics::new(&registry, peer_counters, server_counters.clone())
+                .into_diagnostic()?,
+            snapshot,
+        };
+        cx.run(Replica::new(parts));
+        let service = Rc::new(ReplicaService {
+            replica: replica.clone(),
+            published: Rc::clone(&published),
+            replicas: replicas.clone(),
+            clock: Arc::clone(&clock),
+        });
+        let server = serve(listener, service, Arc::clone(&clock), server_counters);
+        tokio::task::spawn_local(server);
+        if let Replicas::Open { .. } = replicas {
+            let views = exchange_views(peers, replicas, Rc::clone(&published), clock);
+            tokio::task::spawn_local(views);
+        }
+        Ok(RunningReplica {
+            replica,
+            published,
+            registry,
+        })
+    }
+
+    /// Reads the platform's list of endpoints from now on.
+    pub fn read_endpoints<S>(&self, source: S, clock: Arc<dyn Clock>)
+    where
+        S: EndpointSource,
+    {
+        let published = Rc::clone(&self.published);
+        tokio::task::spawn_local(read_endpoints(source, published, clock));
+    }
+
+    /// What operators and callers may ask of the replica, from any thread.
+    pub fn operator_handle(&self, clock: Arc<dyn Clock>) -> OperatorHandle {
+        OperatorHandle::new(self.backend(), self.published.shared_fleet(), clock)
+    }
+
+    /// Stops gracefully: finishes proposals and hands leadership over.
+    pub async fn stop(self) {
+        let (exit, may_exit) = oneshot::channel();
+        self.replica.do_send(Stop(exit));
+        if tokio::time::timeout(STOP_LIMIT, may_exit).await.is_err() {
+            log::warn!("the stop took longer than {STOP_LIMIT:?}");
+        }
+        tokio::time::sleep(STOP_FLUSH).await;
+    }
+
+    pub(crate) fn backend(&self) -> Arc<ReplicaBackend> {
+        Arc::new(ReplicaBackend {
+            replica: self.replica.clone(),
+            registry: self.registry.clone(),
+        })
+    }
+
+    pub(crate) fn poll_vm_list(&self, address: String, clock: Arc<dyn Clock>) {
+        let published = Rc::clone(&self.published);
+        let poll = poll_vm_list(address, self.replica.clone(), published, clock);
+        tokio::task::spawn_local(poll);
+    }
+}
+
+fn node_settings(options: &ReplicaOptions, wal: &Wal) -> NodeSettings {
+    NodeSettings {
+        member: Member {
+            replica: options.replica,
+            storage: wal.storage_id(),
+        },
+        replicas: options.replicas.configured(),
+        open: matches!(options.replicas, Replicas::Open { .. }),
+        may_form: match options.replicas {
+            Replicas::Listed(_) => true,
+            Replicas::Open { may_form, .. } => may_form,
+        },
+        timing: Timing {
+            keep_entries: KEEP_ENTRIES,
+            ..Timing::default()
+        },
+    }
+}
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,3 +1,4 @@
+use crate::options::Replicas;
 use crate::published::Published;
 use crate::replica::Replica;
 use crate::replica::messages::{Ask, Deliver, Propose};
@@ -6,6 +7,7 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use mangospindle_consensus::Message;
+use mangospindle_fleet::ExchangeRequest;
 use mangospindle_model::Clock;
 use mangospindle_rpc::{
     ControlService, MAX_HOLD, ProposeResult, QueryResult, WatchContent, WatchReply, WatchRequest,
@@ -20,6 +22,7 @@
 pub(crate) struct ReplicaService {
     pub(crate) replica: Addr<Replica>,
     pub(crate) published: Rc<Published>,
+    pub(crate) replicas: Replicas,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -76,6 +79,23 @@
         async move { result.await.unwrap_or(ProposeResult::Unknown) }.boxed_local()
     }
 
+    fn exchange(&self, request: Vec<u8>) -> LocalBoxFuture<'static, Vec<u8>> {
+        let reply = match ExchangeRequest::decode(&request) {
+            Ok(request) => {
+                let members = self.published.members.borrow();
+                let addresses = members.iter().filter_map(|m| self.replicas.address(*m));
+                let (now, addresses) = (self.clock.now(), addresses.collect());
+                let reply = self.published.fleet().answer(now, request, addresses);
+                reply.encode()
+            }
+            Err(e) => {
+                log::warn!("{e}");
+                Vec::new()
+            }
+        };
+        futures::future::ready(reply).boxed_local()
+    }
+
     fn query_claim(&self, key: ClaimKey) -> LocalBoxFuture<'static, QueryResult> {
         let (reply, result) = oneshot::channel();
         self.replica.do_send(Ask(Question::Claim(key, reply)));
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -0,0 +1,102 @@
+use super::Dispatcher;
+use super::endpoint::Endpoint;
+use super::service::Service;
+use crate::EndpointKey;
+use mangospindle_fleet::EndpointRecord;
+use mangospindle_model::RouteTable;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after the end of an evacuation in which endpoints count as cold in addition to their cold
+/// start: they may have started at its end, and the list that says so arrives later.
+const EVACUATION_MARGIN: Duration = Duration::from_secs(2);
+
+/// Cold start of an endpoint whose service is not known.
+const DEFAULT_COLD_START: Duration = Duration::from_secs(3);
+
+impl Dispatcher {
+    /// Takes a list of endpoints that is `age` old. Endpoints that are not listed are gone.
+    pub fn update_endpoints(&mut self, now: Duration, age: Duration, records: &[EndpointRecord]) {
+        let listed: BTreeSet<&str> = records.iter().map(|r| r.instance.as_str()).collect();
+        self.endpoints
+            .retain(|_, e| listed.contains(e.instance.as_str()));
+        for record in records {
+            self.update_endpoint(now, age, record);
+        }
+        self.by_instance = (self.endpoints.iter())
+            .map(|(key, e)| (e.instance.clone(), *key))
+            .collect();
+        self.group_by_service();
+    }
+
+    fn update_endpoint(&mut self, now: Duration, age: Duration, record: &EndpointRecord) {
+        let known = self.by_instance.get(&record.instance);
+        let known = known.and_then(|key| self.endpoints.get_mut(key));
+        match known {
+            Some(e) if e.address == record.address && e.service == record.service => {
+                e.state = record.state;
+                e.slots = record.slots.max(1);
+                let cold_for = record.cold_for.saturating_sub(age);
+                if !cold_for.is_zero() {
+                    e.cool(now, cold_for);
+                }
+            }
+            _ => {
+                if let Some(key) = self.by_instance.get(&record.instance) {
+                    self.endpoints.remove(key);
+                }
+                let key = EndpointKey(self.next_key);
+                self.next_key += 1;
+                self.endpoints.insert(key, Endpoint::new(record, now, age));
+                self.by_instance.insert(record.instance.clone(), key);
+            }
+        }
+    }
+
+    /// Takes the routes and the evacuated failure domains.
+    pub fn update_routes(
+        &mut self,
+        now: Duration,
+        routes: Arc<RouteTable>,
+        evacuated: BTreeSet<String>,
+    ) {
+        for endpoint in self.endpoints.values_mut() {
+            let domain = &endpoint.failure_domain;
+            if self.evacuated.contains(domain) && !evacuated.contains(domain) {
+                let service = routes.services.get(&endpoint.service);
+                let cold_start = service.map_or(DEFAULT_COLD_START, |s| s.cold_start);
+                endpoint.cool(now, cold_start + EVACUATION_MARGIN);
+            }
+        }
+        self.routes = routes;
+        self.evacuated = evacuated;
+        self.group_by_service();
+    }
+
+    /// Takes the number of live entries in the own region.
+    pub fn update_entries(&mut self, region_entries: u32) {
+        self.region_entries = region_entries.max(1);
+    }
+
+    fn group_by_service(&mut self) {
+        let mut groups: BTreeMap<&str, Vec<EndpointKey>> = BTreeMap::new();
+        for (key, endpoint) in &self.endpoints {
+            groups.entry(&endpoint.service).or_default().push(*key);
+        }
+        let entries = self.region_entries * self.settings.region_count() as u32;
+        for service in self.services.values_mut() {
+            service.endpoints.clear();
+        }
+        for (name, keys) in groups {
+            let service = (self.services.entry(name.to_string()))
+                .or_insert_with(|| Service::new(&self.settings, entries));
+            service.endpoints = keys;
+        }
+        for (name, service) in &mut self.services {
+            let routes = self.routes.routes.values();
+            let mine = routes.filter(|r| r.targets.iter().any(|t| t.service == *name));
+            service.top_priority = mine.map(|r| r.priority).min().unwrap_or(0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/settings.rs
@@ -0,0 +1,36 @@
+use std::collections::BTreeMap;
+
+/// What a [`Dispatcher`](crate::Dispatcher) knows from the settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DispatchSettings {
+    /// Failure domain of this entry.
+    pub failure_domain: String,
+    /// Region of each failure domain.
+    pub regions: BTreeMap<String, String>,
+    /// Second sends that all entries together may make, per request.
+    pub retry_ratio: f64,
+    /// Second sends that all entries together may make in any case in each budget window.
+    pub retry_slack: f64,
+}
+
+impl DispatchSettings {
+    /// Region of this entry.
+    pub fn region(&self) -> &str {
+        self.region_of(&self.failure_domain)
+    }
+
+    /// Region of a failure domain. An unknown one is a region of its own.
+    pub fn region_of<'a>(&'a self, failure_domain: &'a str) -> &'a str {
+        self.regions
+            .get(failure_domain)
+            .map_or(failure_domain, String::as_str)
+    }
+
+    /// Number of regions.
+    pub fn region_count(&self) -> usize {
+        let mut names: Vec<&String> = self.regions.values().collect();
+        names.sort_unstable();
+        names.dedup();
+        names.len().max(1)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/target_share.rs
@@ -0,0 +1,27 @@
+use mangospindle_model::RouteTarget;
+
+/// Distributes the requests of a route over its targets by their weights.
+///
+/// The target that is furthest behind its share gets the next request, so that the shares hold
+/// over short spans as well.
+#[derive(Clone, Debug, Default)]
+pub struct TargetShare {
+    credit: Vec<i64>,
+}
+
+impl TargetShare {
+    /// Position of the target of the next request. `None` if no target has a weight.
+    pub fn next(&mut self, targets: &[RouteTarget]) -> Option<usize> {
+        if self.credit.len() != targets.len() {
+            self.credit = vec![0; targets.len()];
+        }
+        let total: i64 = targets.iter().map(|t| i64::from(t.weight)).sum();
+        for (credit, target) in self.credit.iter_mut().zip(targets) {
+            *credit += i64::from(target.weight);
+        }
+        let weighted = (0..targets.len()).filter(|i| targets[*i].weight > 0);
+        let chosen = weighted.max_by_key(|i| self.credit[*i])?;
+        self.credit[chosen] -= total;
+        Some(chosen)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/work_times.rs
@@ -0,0 +1,43 @@
+use std::time::Duration;
+
+/// Weight of a new sample in the moving average.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// Assumed times before the first sample. The true ones are learned within a few answers.
+const FIRST_KNOWN: Duration = Duration::from_millis(120);
+const FIRST_UNKNOWN: Duration = Duration::from_millis(300);
+
+/// Usual time that the endpoints of a service work on a request, without waiting.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WorkTimes {
+    known: f64,
+    unknown: f64,
+}
+
+impl Default for WorkTimes {
+    fn default() -> Self {
+        WorkTimes {
+            known: FIRST_KNOWN.as_secs_f64(),
+            unknown: FIRST_UNKNOWN.as_secs_f64(),
+        }
+    }
+}
+
+impl WorkTimes {
+    /// Records the time of an answer that did not have to wait.
+    pub(crate) fn record(&mut self, known_object: bool, elapsed: Duration) {
+        let time = match known_object {
+            true => &mut self.known,
+            false => &mut self.unknown,
+        };
+        *time += SAMPLE_WEIGHT * (elapsed.as_secs_f64() - *time);
+    }
+
+    /// Expected time in seconds, on an object that the endpoint knows or not.
+    pub(crate) fn expected(&self, known_object: bool) -> f64 {
+        match known_object {
+            true => self.known.min(self.unknown),
+            false => self.unknown,
+        }
+    }
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -32,7 +32,9 @@
         }
         let body = match (self.framing, self.declared) {
             (BodyFraming::Length(n), _) => BoxBody::new(SizedStream::new(n, self.body)),
-            (BodyFraming::Chunked, _) => BoxBody::new(BodyStream::new(self.body)),
+            (BodyFraming::Chunked | BodyFraming::UntilClose, _) => {
+                BoxBody::new(BodyStream::new(self.body))
+            }
             // Announces the length that a `GET` would have.
             (BodyFraming::None, Some(n)) => BoxBody::new(SizedStream::new(n, self.body)),
             (BodyFraming::None, None) => BoxBody::new(()),
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -64,7 +64,7 @@
         };
         headers::set(&mut head.headers, DEADLINE, &left.to_string());
         headers::set(&mut head.headers, REQUEST_ID, &cx.id);
-        let Ok(upload) = Upload::new(head, plan.address, framing, body) else {
+        let Ok(upload) = Upload::new(head, &plan.address.to_string(), framing, body) else {
             let refusal = Refusal::new(ErrorKind::BadRequest, "the path cannot be forwarded");
             return Err((refusal, permit));
         };
--- a/crates/entry/src/connect.rs
+++ b/crates/entry/src/connect.rs
@@ -54,7 +54,7 @@
     deadline: Duration,
 ) -> Result<Lease, Refusal> {
     let now = shared.now();
-    if let Some(lease) = shared.pool.take(target, freshness.proved_after(now)) {
+    if let Some(lease) = shared.pool.take(target, now, freshness.proved_after(now)) {
         return Ok(lease);
     }
     if !may_open(shared, target) {
--- a/crates/entry/src/fetch.rs
+++ b/crates/entry/src/fetch.rs
@@ -22,7 +22,7 @@
         path: path.to_string(),
         headers: HeaderMap::new(),
     };
-    let upload = Upload::new(head, address, BodyFraming::None, None).ok()?;
+    let upload = Upload::new(head, &address.to_string(), BodyFraming::None, None).ok()?;
     let mut exchange = Exchange::new(lease, Method::GET, upload);
     let answer = exchange.head(&*shared.clock).await.ok()?;
     let mut body = BytesMut::new();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -58,6 +58,7 @@
 mod server;
 mod shared;
 mod status_api;
+mod target;
 mod tracked_body;
 mod vm_list;
 
--- /dev/null
+++ b/crates/fleet/src/endpoint_list.rs
@@ -0,0 +1,58 @@
+use crate::EndpointRecord;
+use std::sync::Arc;
+use std::time::Duration;
+use xxhash_rust::xxh3::Xxh3;
+
+/// A copy of the platform's list of endpoints.
+#[derive(Clone, Debug)]
+pub struct EndpointList {
+    /// The endpoints; `cold_for` counts from `read_at`.
+    pub endpoints: Arc<Vec<EndpointRecord>>,
+    /// Digest of the content, to tell whether another copy says the same.
+    pub digest: u64,
+    /// When the platform was asked, on the local clock. The content is not newer than that.
+    pub read_at: Duration,
+}
+
+impl EndpointList {
+    /// Takes a list that was asked for at `read_at`.
+    pub fn new(mut endpoints: Vec<EndpointRecord>, read_at: Duration) -> Self {
+        endpoints.sort_by(|a, b| a.instance.cmp(&b.instance));
+        EndpointList {
+            digest: digest(&endpoints),
+            endpoints: Arc::new(endpoints),
+            read_at,
+        }
+    }
+
+    /// The endpoints as of `now`.
+    pub fn at(&self, now: Duration) -> Vec<EndpointRecord> {
+        let age = now.saturating_sub(self.read_at);
+        let mut endpoints = Vec::clone(&self.endpoints);
+        for endpoint in &mut endpoints {
+            endpoint.cold_for = endpoint.cold_for.saturating_sub(age);
+        }
+        endpoints
+    }
+}
+
+/// Digest of a sorted list. Of the time that an endpoint stays cold only whether there is any
+/// counts, since it shrinks from reading to reading.
+fn digest(endpoints: &[EndpointRecord]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for e in endpoints {
+        let text = format!(
+            "{}\n{}\n{}\n{}\n{}\n{:?}\n{}\n",
+            e.instance,
+            e.service,
+            e.address,
+            e.failure_domain,
+            e.slots,
+            e.state,
+            e.cold_for.is_zero()
+        );
+        hasher.update(text.as_bytes());
+    }
+    // Zero stands for "no list".
+    hasher.digest().max(1)
+}
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -13,15 +13,16 @@
 }
 
 impl Process {
-    /// Starts a binary of this workspace; its standard error is appended to `log`.
+    /// Starts a binary of this workspace; its output is appended to `log`.
     pub fn start(binary: &str, args: &[String], log: &Path) -> Result<Self> {
         let open = File::options().create(true).append(true).open(log);
-        let stderr = open.into_diagnostic()?;
+        let log_file = open.into_diagnostic()?;
+        let stdout = log_file.try_clone().into_diagnostic()?;
         let child = Command::new(binary_path(binary)?)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(stderr)
+            .stdout(stdout)
+            .stderr(log_file)
             .spawn()
             .into_diagnostic()
             .wrap_err_with(|| format!("cannot start {binary}; is it built?"))?;
--- a/crates/model/src/error_kind.rs
+++ b/crates/model/src/error_kind.rs
@@ -36,6 +36,10 @@
     InvalidChange,
     /// The request headers exceed the limit.
     HeadersTooLarge,
+    /// The request body exceeds the limit.
+    BodyTooLarge,
+    /// The caller did not send the rest of its request in time.
+    RequestTimeout,
     /// No endpoint of the service is usable.
     NoEndpoint,
     /// All usable endpoints are full.
@@ -75,7 +79,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table.
-    pub const ALL: [ErrorKind; 24] = [
+    pub const ALL: [ErrorKind; 26] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyLengthMismatch,
         ErrorKind::Unauthorized,
@@ -90,6 +94,8 @@
         ErrorKind::MissingVersion,
         ErrorKind::InvalidChange,
         ErrorKind::HeadersTooLarge,
+        ErrorKind::BodyTooLarge,
+        ErrorKind::RequestTimeout,
         ErrorKind::NoEndpoint,
         ErrorKind::NoCapacity,
         ErrorKind::Shed,
@@ -177,6 +183,14 @@
                 No,
                 false,
             ),
+            Self::BodyTooLarge => row(413, "body-too-large", "Request body too large", No, false),
+            Self::RequestTimeout => row(
+                408,
+                "request-timeout",
+                "Request not received in time",
+                No,
+                false,
+            ),
             Self::NoEndpoint => row(503, "no-endpoint", "No usable endpoint", No, true),
             Self::NoCapacity => row(503, "no-capacity", "No free capacity", No, true),
             Self::Shed => row(503, "shed", "Refused under pressure", No, true),
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -18,6 +18,7 @@
 mod region;
 mod rendezvous;
 mod request_class;
+mod route_table;
 mod service;
 mod topology;
 mod topology_error;
@@ -37,6 +38,10 @@
 pub use region::Region;
 pub use rendezvous::rendezvous_score;
 pub use request_class::RequestClass;
+pub use route_table::{
+    EndpointService, RequestLimits, Route, RouteError, RouteFault, RouteKey, RouteTable,
+    RouteTableChange, RouteTarget,
+};
 pub use service::Service;
 pub use topology::Topology;
 pub use topology_error::TopologyError;
--- /dev/null
+++ b/crates/model/src/route_table.rs
@@ -0,0 +1,88 @@
+//! Routes that operators put as one numbered document.
+
+mod change;
+mod endpoint_service;
+mod request_limits;
+mod route;
+mod route_error;
+
+pub use change::RouteTableChange;
+pub use endpoint_service::EndpointService;
+pub use request_limits::RequestLimits;
+pub use route::{Route, RouteKey, RouteTarget};
+pub use route_error::{RouteError, RouteFault};
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// All routes under one number. The highest number is in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RouteTable {
+    /// Number that the operator gave the table; zero before the first one.
+    pub number: u64,
+    /// Services that routes may name, by name.
+    pub services: BTreeMap<String, EndpointService>,
+    /// What callers may send.
+    pub limits: RequestLimits,
+    /// Routes by host and path prefix.
+    pub routes: BTreeMap<RouteKey, Route>,
+}
+
+impl RouteTable {
+    /// Checks what the code that uses the table relies on.
+    pub fn validate(&self) -> Result<(), RouteError> {
+        for (key, route) in &self.routes {
+            route.validate(&self.services).map_err(|fault| RouteError {
+                host: key.host.clone(),
+                prefix: key.prefix.clone(),
+                fault,
+            })?;
+        }
+        Ok(())
+    }
+
+    /// The route of a request: among those of the host, the one with the longest prefix that
+    /// begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<(&RouteKey, &Route)> {
+        let ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
+        ends.into_iter().find_map(|end| {
+            let key = RouteKey {
+                host: host.to_string(),
+                prefix: path[..end].to_string(),
+            };
+            self.routes.get_key_value(&key)
+        })
+    }
+
+    /// What turns this table into `next`.
+    pub fn change_to(&self, next: &RouteTable) -> RouteTableChange {
+        let changed = |(key, route): &(&RouteKey, &Route)| self.routes.get(*key) != Some(*route);
+        RouteTableChange {
+            number: next.number,
+            services: (self.services != next.services).then(|| next.services.clone()),
+            limits: (self.limits != next.limits).then_some(next.limits),
+            removed: (self.routes.keys())
+                .filter(|key| !next.routes.contains_key(*key))
+                .cloned()
+                .collect::<BTreeSet<_>>(),
+            updated: (next.routes.iter())
+                .filter(changed)
+                .map(|(key, route)| (key.clone(), route.clone()))
+                .collect(),
+        }
+    }
+
+    /// Applies a change.
+    pub fn apply(&mut self, change: &RouteTableChange) {
+        self.number = change.number;
+        if let Some(services) = &change.services {
+            self.services = services.clone();
+        }
+        if let Some(limits) = change.limits {
+            self.limits = limits;
+        }
+        self.routes.retain(|key, _| !change.removed.contains(key));
+        let updated = change.updated.iter();
+        (self.routes).extend(updated.map(|(key, route)| (key.clone(), route.clone())));
+    }
+}
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -5,6 +5,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     tokens: f64,
+    max: f64,
 }
 
 impl RetryBudget {
@@ -14,14 +15,17 @@
 
     /// A full budget.
     pub fn new() -> Self {
-        RetryBudget {
-            tokens: Self::MAX_TOKENS,
-        }
+        Self::with_capacity(Self::MAX_TOKENS)
+    }
+
+    /// A full budget that saves up to `max` tokens.
+    pub fn with_capacity(max: f64) -> Self {
+        RetryBudget { tokens: max, max }
     }
 
     /// Adds the share of one first attempt.
     pub fn deposit(&mut self, fraction: f64) {
-        self.tokens = (self.tokens + fraction.max(0.0)).min(Self::MAX_TOKENS);
+        self.tokens = (self.tokens + fraction.max(0.0)).min(self.max);
     }
 
     /// Takes one token if there is one.
--- a/crates/rpc/schema/control.capnp
+++ b/crates/rpc/schema/control.capnp
@@ -21,6 +21,9 @@
 
   ping @4 () -> ();
   # Proves that the connection carries traffic.
+
+  exchange @5 (request :Data) -> (reply :Data);
+  # Views of the fleet: a postcard-encoded `fleet::Request` and `fleet::Reply`.
 }
 
 struct WatchRequest {
@@ -75,7 +78,7 @@
 }
 
 struct Member {
-  replica @0 :UInt16;
+  replica @0 :UInt32;
   storageHigh @1 :UInt64;
   storageLow @2 :UInt64;
 }
--- a/crates/rpc/src/connection.rs
+++ b/crates/rpc/src/connection.rs
@@ -1,5 +1,5 @@
 use crate::control_capnp::control;
-use crate::limits::CONNECT_TIMEOUT;
+use crate::limits::{CONNECT_TIMEOUT, EXCHANGE_TIMEOUT};
 use crate::link_stats::LinkStats;
 use crate::metered::Metered;
 use crate::{LinkCounters, MAX_MESSAGE_BYTES, RpcError};
@@ -96,6 +96,21 @@
         }
     }
 
+    /// Exchanges views of the fleet.
+    pub(crate) fn exchange(
+        &self,
+        request: &[u8],
+    ) -> impl Future<Output = Result<Vec<u8>, RpcError>> + use<> {
+        let mut call = self.client.exchange_request();
+        call.get().set_request(request);
+        let sent = self.call(call.send().promise);
+        async move {
+            let response = tokio::time::timeout(EXCHANGE_TIMEOUT, sent).await;
+            let response = response.map_err(|_| RpcError::Closed)??;
+            Ok(response.get()?.get_reply()?.to_vec())
+        }
+    }
+
     /// Waits for the answer of a call that was sent, or for the end of the connection.
     pub(crate) fn call<F, T>(
         &self,
--- a/crates/rpc/src/control_capnp.rs
+++ b/crates/rpc/src/control_capnp.rs
@@ -18,6 +18,8 @@
     pub type DeliverResults<> = ::capnp::capability::Results<crate::control_capnp::control::deliver_results::Owned>;
     pub type PingParams<> = ::capnp::capability::Params<crate::control_capnp::control::ping_params::Owned>;
     pub type PingResults<> = ::capnp::capability::Results<crate::control_capnp::control::ping_results::Owned>;
+    pub type ExchangeParams<> = ::capnp::capability::Params<crate::control_capnp::control::exchange_params::Owned>;
+    pub type ExchangeResults<> = ::capnp::capability::Results<crate::control_capnp::control::exchange_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -82,6 +84,9 @@
         pub fn ping_request(&self) -> ::capnp::capability::Request<crate::control_capnp::control::ping_params::Owned,crate::control_capnp::control::ping_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn exchange_request(&self) -> ::capnp::capability::Request<crate::control_capnp::control::exchange_params::Owned,crate::control_capnp::control::exchange_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn watch(self: ::capnp::capability::Rc<Self>, _: WatchParams<>, _: WatchResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::watch not implemented".to_string()))) }
@@ -89,6 +94,7 @@
         fn query_claim(self: ::capnp::capability::Rc<Self>, _: QueryClaimParams<>, _: QueryClaimResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::query_claim not implemented".to_string()))) }
         fn deliver(self: ::capnp::capability::Rc<Self>, _: DeliverParams<>, _: DeliverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::deliver not implemented".to_string()))) }
         fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::ping not implemented".to_string()))) }
+        fn exchange(self: ::capnp::capability::Rc<Self>, _: ExchangeParams<>, _: ExchangeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::exchange not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -123,6 +129,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::query_claim(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::deliver(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ping(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::exchange(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -2156,6 +2163,422 @@
             pub(crate) const TYPE_ID: u64 = 0xa4ee_38df_8795_6ac6;
         }
     }
+
+    pub mod exchange_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_request(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_request(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(58, 43, 98, 153, 254, 105, 244, 244),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 67, 111),
+                ::capnp::word(110, 116, 114, 111, 108, 46, 101, 120),
+                ::capnp::word(99, 104, 97, 110, 103, 101, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xf4f4_69fe_9962_2b3a;
+        }
+    }
+
+    pub mod exchange_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_reply(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_reply(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_reply(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_reply(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_reply(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_reply(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(54, 235, 231, 174, 211, 245, 32, 147),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 67, 111),
+                ::capnp::word(110, 116, 114, 111, 108, 46, 101, 120),
+                ::capnp::word(99, 104, 97, 110, 103, 101, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9320_f5d3_aee7_eb36;
+        }
+    }
 }
 
 pub mod watch_request {
@@ -4169,8 +4592,8 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_replica(self) -> u16 {
-            self.reader.get_data_field::<u16>(0)
+        pub fn get_replica(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
         }
         #[inline]
         pub fn get_storage_high(self) -> u64 {
@@ -4235,12 +4658,12 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_replica(self) -> u16 {
-            self.builder.get_data_field::<u16>(0)
+        pub fn get_replica(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn set_replica(&mut self, value: u16)  {
-            self.builder.set_data_field::<u16>(0, value);
+        pub fn set_replica(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
         pub fn get_storage_high(self) -> u64 {
@@ -4309,11 +4732,11 @@
             ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 116, 111, 114, 97, 103, 101, 72),
@@ -4337,7 +4760,7 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -38,7 +38,7 @@
 }
 
 pub(crate) struct Inner {
-    pub(crate) replicas: Vec<SocketAddr>,
+    pub(crate) replicas: RefCell<Vec<SocketAddr>>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) counters: LinkCounters,
     pub(crate) report: RefCell<Option<EntryReport>>,
@@ -61,7 +61,7 @@
             return None;
         }
         let inner = Rc::new(Inner {
-            replicas: settings.replicas,
+            replicas: RefCell::new(settings.replicas),
             clock: settings.clock,
             counters: LinkCounters::default(),
             report: RefCell::new(settings.report),
@@ -90,6 +90,20 @@
         *self.inner.report.borrow_mut() = Some(report);
     }
 
+    /// Replaces the addresses of the replicas, nearest first. An empty list changes nothing.
+    pub fn set_replicas(&self, replicas: Vec<SocketAddr>) {
+        if !replicas.is_empty() {
+            *self.inner.replicas.borrow_mut() = replicas;
+        }
+    }
+
+    /// Exchanges views of the fleet with the replica in use. `None` without an answer in time.
+    pub async fn exchange(&self, request: &[u8]) -> Option<Vec<u8>> {
+        let connection = self.inner.connection.borrow().clone();
+        let connection = connection.filter(|c| !c.is_closed())?;
+        connection.exchange(request).await.ok()
+    }
+
     /// Bytes sent and received.
     pub fn counters(&self) -> &LinkCounters {
         &self.inner.counters
--- a/crates/rpc/src/control_service.rs
+++ b/crates/rpc/src/control_service.rs
@@ -16,6 +16,9 @@
     /// Answers a question about an at-most-once action.
     fn query_claim(&self, key: ClaimKey) -> LocalBoxFuture<'static, QueryResult>;
 
+    /// Exchanges views of the fleet; both sides are encoded.
+    fn exchange(&self, request: Vec<u8>) -> LocalBoxFuture<'static, Vec<u8>>;
+
     /// Takes messages of the replicated log, in order.
     fn deliver(&self, messages: Vec<Message>);
 }
--- a/crates/rpc/src/limits.rs
+++ b/crates/rpc/src/limits.rs
@@ -24,6 +24,9 @@
 /// Time for establishing a connection, four round trips between regions and some load.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for an exchange of views of the fleet, which are repeated every second.
+pub(crate) const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Silence after which a replica closes its connection to another one while an answer is due.
 /// Below the shortest election timeout (500 ms), so that a follower whose connection went silent
 /// is reached over a new one before it asks for an election.
--- a/crates/rpc/src/peer_link.rs
+++ b/crates/rpc/src/peer_link.rs
@@ -58,6 +58,13 @@
         }
     }
 
+    /// Exchanges views of the fleet with the replica. `None` without an answer in time.
+    pub fn exchange(&self, request: &[u8]) -> impl Future<Output = Option<Vec<u8>>> + use<> {
+        let connection = self.shared.connection.borrow().clone();
+        let call = (connection.filter(|c| !c.is_closed())).map(|c| c.exchange(request));
+        async move { call?.await.ok() }
+    }
+
     /// Forwards a proposal to the replica.
     pub fn propose(&self, command: &[u8]) -> impl Future<Output = ProposeResult> + use<> {
         let connection = self.shared.connection.borrow().clone();
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -147,6 +147,17 @@
         std::future::ready(self.deliver_now(&params).map_err(capnp::Error::from))
     }
 
+    async fn exchange(
+        self: Rc<Self>,
+        params: control::ExchangeParams,
+        mut results: control::ExchangeResults,
+    ) -> Result<(), capnp::Error> {
+        let request = params.get()?.get_request()?.to_vec();
+        let reply = self.service.exchange(request).await;
+        results.get().set_reply(&reply);
+        Ok(())
+    }
+
     async fn ping(
         self: Rc<Self>,
         _params: control::PingParams,
--- a/crates/rpc/src/watch_loop.rs
+++ b/crates/rpc/src/watch_loop.rs
@@ -37,8 +37,11 @@
     let mut backoff = Backoff::new(RETRY.0, RETRY.1);
     let mut next = 0;
     loop {
-        let nearest = next % inner.replicas.len() == 0;
-        let address = inner.replicas[next % inner.replicas.len()];
+        let (nearest, address) = {
+            let replicas = inner.replicas.borrow();
+            let index = next % replicas.len();
+            (index == 0, replicas[index])
+        };
         let clock = Arc::clone(&inner.clock);
         let counters = inner.counters.clone();
         let left = match Connection::open(address, clock, counters, liveness).await {
--- a/crates/rpc/tests/links.rs
+++ b/crates/rpc/tests/links.rs
@@ -75,7 +75,7 @@
     timeout(LIMIT, wait).await.expect(what);
 }
 
-fn member(replica: u16) -> Member {
+fn member(replica: u32) -> Member {
     Member {
         replica: ReplicaId(replica),
         storage: StorageId(uuid::Uuid::from_u128(u128::from(replica) << 70 | 7)),
@@ -145,6 +145,7 @@
         MessageKind::Hello {
             formation: None,
             formed: true,
+            members: vec![ReplicaId(7)],
         },
         snapshot(0),
         snapshot(SNAPSHOT_CHUNK_BYTES),
--- a/crates/rpc/tests/support/fake_service.rs
+++ b/crates/rpc/tests/support/fake_service.rs
@@ -63,6 +63,10 @@
         }
     }
 
+    fn exchange(&self, request: Vec<u8>) -> LocalBoxFuture<'static, Vec<u8>> {
+        futures::future::ready(request).boxed_local()
+    }
+
     fn query_claim(&self, _: ClaimKey) -> LocalBoxFuture<'static, QueryResult> {
         futures::future::ready(QueryResult::Answer(ClaimOutcome::Unknown)).boxed_local()
     }
--- a/crates/settings/src/duration_text.rs
+++ b/crates/settings/src/duration_text.rs
@@ -1,7 +1,7 @@
 use serde::Deserialize;
 use std::time::Duration;
 
-/// A duration with a unit, such as `250ms`, `5s` or `24h`.
+/// A duration with a unit, such as `250ms`, `2.5s` or `24h`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(try_from = "String")]
 pub(crate) struct DurationText(pub(crate) Duration);
@@ -12,20 +12,26 @@
     fn try_from(text: String) -> Result<Self, Self::Error> {
         let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
         let unit = &text[digits.len()..];
-        let number: u64 = digits.parse().map_err(|_| {
-            format!("`{text}` is not a duration; write a whole number and a unit, such as `250ms`")
-        })?;
+        let number: f64 = digits
+            .parse()
+            .ok()
+            .filter(|n: &f64| n.is_finite() && !n.is_sign_negative())
+            .ok_or_else(|| {
+                format!("`{text}` is not a duration; write a number and a unit, such as `250ms`")
+            })?;
         let millis = match unit {
             "ms" => number,
-            "s" => number.saturating_mul(1_000),
-            "min" => number.saturating_mul(60_000),
-            "h" => number.saturating_mul(3_600_000),
+            "s" => number * 1_000.0,
+            "min" => number * 60_000.0,
+            "h" => number * 3_600_000.0,
             _ => {
                 return Err(format!(
                     "`{text}` has no known unit; use `ms`, `s`, `min` or `h`"
                 ));
             }
         };
-        Ok(DurationText(Duration::from_millis(millis)))
+        Ok(DurationText(Duration::from_micros(
+            (millis * 1_000.0) as u64,
+        )))
     }
 }
--- a/crates/state/src/command_kind.rs
+++ b/crates/state/src/command_kind.rs
@@ -1,6 +1,6 @@
 use crate::{Attempt, ClaimKey, RecordedAnswer};
 use mangospindle_model::{
-    Endpoint, EndpointId, Entry, EntryId, Profile, RegionId, ServiceId, Topology,
+    Endpoint, EndpointId, Entry, EntryId, Profile, RegionId, RouteTable, ServiceId, Topology,
 };
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +53,20 @@
         /// Whether the endpoint is to be drained.
         drain: bool,
     },
+    /// Puts a table of routes. Has no effect unless its number is above that of the present one.
+    PutRoutes {
+        /// The table.
+        table: Box<RouteTable>,
+        /// The table as the operator sent it, to be read back.
+        document: String,
+    },
+    /// Starts or ends the evacuation of a failure domain.
+    SetEvacuation {
+        /// Name of the failure domain.
+        failure_domain: String,
+        /// Whether nothing is to be sent to its endpoints.
+        evacuate: bool,
+    },
     /// Adds an entry VM.
     AddEntry {
         /// The entry.
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -1,7 +1,7 @@
 use crate::{ConfigChange, EntryStatus, Ownership, Takeover, VersionedProfile};
-use mangospindle_model::{EndpointId, EntryId, Profile, ServiceId, Topology};
+use mangospindle_model::{EndpointId, EntryId, Profile, RouteTable, ServiceId, Topology};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The part of the agreed state that entries hold a copy of.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -18,6 +18,10 @@
     pub entry_status: Vec<EntryStatus>,
     /// Whether an operator drains the endpoint, in the order of the topology.
     pub endpoint_drain: Vec<bool>,
+    /// Routes of the hosts that operators put as numbered tables.
+    pub routes: RouteTable,
+    /// Failure domains whose endpoints get nothing.
+    pub evacuated: BTreeSet<String>,
 }
 
 impl Config {
@@ -42,6 +46,8 @@
                 .map(|p| (p.name.clone(), versioned(p)))
                 .collect(),
             topology,
+            routes: RouteTable::default(),
+            evacuated: BTreeSet::new(),
         }
     }
 
@@ -65,6 +71,13 @@
             ConfigChange::SetEndpointDrain(endpoint, drain) => {
                 self.endpoint_drain[endpoint.index()] = *drain;
             }
+            ConfigChange::UpdateRoutes(change) => self.routes.apply(change),
+            ConfigChange::SetEvacuation(domain, true) => {
+                self.evacuated.insert(domain.clone());
+            }
+            ConfigChange::SetEvacuation(domain, false) => {
+                self.evacuated.remove(domain);
+            }
             ConfigChange::AddEntry(entry) => {
                 self.topology.entries.push(entry.clone());
                 self.entry_status.push(EntryStatus::Absent);
--- a/crates/state/src/config_change.rs
+++ b/crates/state/src/config_change.rs
@@ -1,5 +1,7 @@
 use crate::{EntryStatus, Ownership, VersionedProfile};
-use mangospindle_model::{Endpoint, EndpointId, Entry, EntryId, RegionId, ServiceId};
+use mangospindle_model::{
+    Endpoint, EndpointId, Entry, EntryId, RegionId, RouteTableChange, ServiceId,
+};
 use serde::{Deserialize, Serialize};
 
 /// One step from a version of a [`Config`](crate::Config) to the next.
@@ -15,6 +17,10 @@
     SetRegionLimit(RegionId, u32),
     /// The drain of an endpoint started or ended.
     SetEndpointDrain(EndpointId, bool),
+    /// The table of routes changed.
+    UpdateRoutes(Box<RouteTableChange>),
+    /// The evacuation of a failure domain started or ended.
+    SetEvacuation(String, bool),
     /// An entry was added.
     AddEntry(Entry),
     /// An endpoint was added.
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -14,6 +14,7 @@
 mod membership;
 mod operator;
 mod ownership;
+mod routes;
 
 /// The replicated state.
 #[derive(Clone, Debug, Default)]
@@ -32,6 +33,8 @@
     /// Highest version of any profile that was deleted. New profiles start above it, so that a
     /// version of a deleted profile never names another profile of the same name.
     pub(crate) deleted_profile_version: u64,
+    /// The table of routes as the operator sent it.
+    pub(crate) route_document: String,
 }
 
 impl State {
@@ -50,6 +53,11 @@
         &self.config
     }
 
+    /// The table of routes as the operator sent it; empty before the first one.
+    pub fn route_document(&self) -> &str {
+        &self.route_document
+    }
+
     /// What a holder of the configuration at `version` needs to reach the present one.
     pub fn changes_since(&self, version: u64) -> ChangesSince<'_> {
         let missing = self.config.version.checked_sub(version);
--- a/crates/state/src/state/apply.rs
+++ b/crates/state/src/state/apply.rs
@@ -61,6 +61,12 @@
                 self.bootstrap(command, topology, profiles)
             }
             CommandKind::Expire => self.expire(),
+            // Passes by itself, unlike what is wrong with a change.
+            CommandKind::PutRoutes { .. } | CommandKind::SetEvacuation { .. }
+                if self.config.version == 0 =>
+            {
+                refused(ErrorKind::NoQuorum, "there is no configuration yet")
+            }
             _ if self.config.version == 0 => {
                 refused(ErrorKind::InvalidChange, "there is no configuration yet")
             }
@@ -84,6 +90,11 @@
             CommandKind::SetEndpointDrain { endpoint, drain } => {
                 self.set_endpoint_drain(command, *endpoint, *drain)
             }
+            CommandKind::PutRoutes { table, document } => self.put_routes(command, table, document),
+            CommandKind::SetEvacuation {
+                failure_domain,
+                evacuate,
+            } => self.set_evacuation(command, failure_domain, *evacuate),
             CommandKind::AddEntry { entry } => self.add_entry(command, entry),
             CommandKind::AddEndpoint { endpoint } => self.add_endpoint(command, endpoint),
             CommandKind::EntryJoin { entry, incarnation } => {
@@ -145,6 +156,8 @@
         | CommandKind::AddEndpoint { .. }
         | CommandKind::FenceVm { .. } => true,
         CommandKind::Bootstrap { .. }
+        | CommandKind::PutRoutes { .. }
+        | CommandKind::SetEvacuation { .. }
         | CommandKind::EntryJoin { .. }
         | CommandKind::EntryLeave { .. }
         | CommandKind::ReleaseEndpoint { .. }
--- a/crates/state/src/state/commit.rs
+++ b/crates/state/src/state/commit.rs
@@ -49,6 +49,16 @@
                 let drain = config.endpoint_drain[id.index()];
                 Some(ConfigChange::SetEndpointDrain(*id, drain))
             }
+            ConfigChange::UpdateRoutes(change) => {
+                let mut next = config.routes.clone();
+                next.apply(change);
+                let inverse = next.change_to(&config.routes);
+                Some(ConfigChange::UpdateRoutes(Box::new(inverse)))
+            }
+            ConfigChange::SetEvacuation(domain, _) => {
+                let evacuated = config.evacuated.contains(domain);
+                Some(ConfigChange::SetEvacuation(domain.clone(), evacuated))
+            }
             ConfigChange::AddEntry(_) | ConfigChange::AddEndpoint(_) => None,
             ConfigChange::SetEntryStatus(id, _) => {
                 let status = config.entry_status[id.index()];
--- /dev/null
+++ b/crates/state/src/state/routes.rs
@@ -0,0 +1,45 @@
+use super::State;
+use super::apply::refused;
+use crate::validate::valid_name;
+use crate::{Command, ConfigChange, Outcome};
+use mangospindle_model::{ErrorKind, RouteTable};
+
+impl State {
+    /// Puts a table of routes. A resend, or a table that a higher number has overtaken, is
+    /// acknowledged without effect.
+    pub(super) fn put_routes(
+        &mut self,
+        command: &Command,
+        table: &RouteTable,
+        document: &str,
+    ) -> Outcome {
+        if let Err(e) = table.validate() {
+            return refused(ErrorKind::InvalidChange, &e.to_string());
+        }
+        if table.number > self.config.routes.number {
+            let change = self.config.routes.change_to(table);
+            self.route_document = document.to_string();
+            self.commit(command, ConfigChange::UpdateRoutes(Box::new(change)));
+        }
+        self.done()
+    }
+
+    pub(super) fn set_evacuation(
+        &mut self,
+        command: &Command,
+        failure_domain: &str,
+        evacuate: bool,
+    ) -> Outcome {
+        if !valid_name(failure_domain) {
+            return refused(
+                ErrorKind::InvalidChange,
+                "the name of the failure domain is not allowed",
+            );
+        }
+        if self.config.evacuated.contains(failure_domain) != evacuate {
+            let change = ConfigChange::SetEvacuation(failure_domain.to_string(), evacuate);
+            self.commit(command, change);
+        }
+        self.done()
+    }
+}
--- a/crates/state/src/wire.rs
+++ b/crates/state/src/wire.rs
@@ -22,4 +22,4 @@
 pub(crate) use snapshot_wire::SnapshotWire;
 
 /// Format of the snapshots that this build writes and reads.
-pub(crate) const FORMAT: u32 = 1;
+pub(crate) const FORMAT: u32 = 2;
--- a/crates/state/src/wire/change_wire.rs
+++ b/crates/state/src/wire/change_wire.rs
@@ -1,6 +1,8 @@
 use super::VersionedProfileWire;
 use crate::{ConfigChange, EntryStatus, Ownership};
-use mangospindle_model::{Endpoint, EndpointId, Entry, EntryId, RegionId, ServiceId};
+use mangospindle_model::{
+    Endpoint, EndpointId, Entry, EntryId, RegionId, RouteTableChange, ServiceId,
+};
 use serde::{Deserialize, Serialize};
 
 /// A change of the configuration in a snapshot. The variants keep their order.
@@ -15,6 +17,8 @@
     AddEndpoint(Endpoint),
     SetEntryStatus(EntryId, EntryStatus),
     SetOwnership(EndpointId, Ownership),
+    UpdateRoutes(Box<RouteTableChange>),
+    SetEvacuation(String, bool),
 }
 
 impl From<&ConfigChange> for ChangeWire {
@@ -29,6 +33,8 @@
             ConfigChange::AddEndpoint(endpoint) => ChangeWire::AddEndpoint(endpoint.clone()),
             ConfigChange::SetEntryStatus(id, status) => ChangeWire::SetEntryStatus(*id, *status),
             ConfigChange::SetOwnership(id, owner) => ChangeWire::SetOwnership(*id, *owner),
+            ConfigChange::UpdateRoutes(c) => ChangeWire::UpdateRoutes(c.clone()),
+            ConfigChange::SetEvacuation(name, on) => ChangeWire::SetEvacuation(name.clone(), *on),
         }
     }
 }
@@ -45,6 +51,8 @@
             ChangeWire::AddEndpoint(endpoint) => ConfigChange::AddEndpoint(endpoint),
             ChangeWire::SetEntryStatus(id, status) => ConfigChange::SetEntryStatus(id, status),
             ChangeWire::SetOwnership(id, owner) => ConfigChange::SetOwnership(id, owner),
+            ChangeWire::UpdateRoutes(c) => ConfigChange::UpdateRoutes(c),
+            ChangeWire::SetEvacuation(name, on) => ConfigChange::SetEvacuation(name, on),
         }
     }
 }
--- a/crates/state/src/wire/config_wire.rs
+++ b/crates/state/src/wire/config_wire.rs
@@ -1,7 +1,8 @@
 use super::VersionedProfileWire;
 use crate::{Config, DecodeError, EntryStatus, Ownership};
-use mangospindle_model::Topology;
+use mangospindle_model::{RouteTable, Topology};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// The configuration in a snapshot.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -12,6 +13,8 @@
     ownership: Vec<Ownership>,
     entry_status: Vec<EntryStatus>,
     endpoint_drain: Vec<bool>,
+    routes: RouteTable,
+    evacuated: BTreeSet<String>,
 }
 
 impl From<&Config> for ConfigWire {
@@ -25,6 +28,8 @@
             ownership: config.ownership.clone(),
             entry_status: config.entry_status.clone(),
             endpoint_drain: config.endpoint_drain.clone(),
+            routes: config.routes.clone(),
+            evacuated: config.evacuated.clone(),
         }
     }
 }
@@ -41,6 +46,8 @@
             ownership: wire.ownership,
             entry_status: wire.entry_status,
             endpoint_drain: wire.endpoint_drain,
+            routes: wire.routes,
+            evacuated: wire.evacuated,
             topology: wire.topology,
         };
         check(&config).map_err(DecodeError::Inconsistent)?;
--- a/crates/state/src/wire/snapshot_wire.rs
+++ b/crates/state/src/wire/snapshot_wire.rs
@@ -20,6 +20,7 @@
     config: ConfigWire,
     owned_since_ms: Vec<u64>,
     deleted_profile_version: u64,
+    route_document: String,
     retired: Vec<(EntryId, Vec<u64>)>,
     requests: Vec<(RequestId, RecordedOutcomeWire)>,
     audit_last: u64,
@@ -65,6 +66,7 @@
             config: ConfigWire::from(&state.config),
             owned_since_ms: state.owned_since_ms.clone(),
             deleted_profile_version: state.deleted_profile_version,
+            route_document: state.route_document.clone(),
             retired: (state.retired.0.iter())
                 .map(|(entry, list)| (*entry, list.iter().copied().collect()))
                 .collect(),
@@ -130,6 +132,7 @@
             ),
             owned_since_ms: wire.owned_since_ms,
             deleted_profile_version: wire.deleted_profile_version,
+            route_document: wire.route_document,
         })
     }
 }
--- a/crates/storage/examples/measure.rs
+++ b/crates/storage/examples/measure.rs
@@ -68,10 +68,12 @@
             let (wal, recovered) = Wal::open(&directory, options)?;
             let settings = NodeSettings {
                 member: Member {
-                    replica: ReplicaId(number as u16),
+                    replica: ReplicaId(number as u32),
                     storage: wal.storage_id(),
                 },
-                replicas: (0..nodes as u16).map(ReplicaId).collect(),
+                replicas: (0..nodes as u32).map(ReplicaId).collect(),
+                open: false,
+                may_form: true,
                 timing: Timing::default(),
             };
             let node = Node::new(settings, recovered, number as u64, Duration::ZERO);
--- a/crates/storage/src/wire/member.rs
+++ b/crates/storage/src/wire/member.rs
@@ -4,7 +4,7 @@
 
 #[derive(Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct WireMember {
-    replica: u16,
+    replica: u32,
     storage: [u8; 16],
 }
 
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -3,7 +3,7 @@
 use serde_json::{Map, Value, json};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Starts logging to standard error, one JSON object per line.
+/// Starts logging to standard output, one JSON object per line.
 pub fn init_logging(process: &str, level: &str) -> Result<()> {
     let process = process.to_string();
     let level: LevelFilter = level.parse().into_diagnostic()?;
@@ -28,7 +28,7 @@
             }
             out.finish(format_args!("{}", Value::Object(line)));
         })
-        .chain(std::io::stderr())
+        .chain(std::io::stdout())
         .apply()
         .into_diagnostic()
 }
