Write route keys as text, so that the exported audit trail can hold them

Cause: a map with structs as keys cannot be encoded as JSON; the export of the audit trail panicked on the first table of routes and ended the actor, while its process stayed: no leader could commit with 6 replicas.

--- a/crates/model/src/route_table/route.rs
+++ b/crates/model/src/route_table/route.rs
@@ -4,8 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// What selects a route.
+/// What selects a route. Written as one text, so that it can be a key in every format.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct RouteKey {
     /// Host name.
     pub host: String,
@@ -13,6 +14,26 @@
     pub prefix: String,
 }
 
+impl From<RouteKey> for String {
+    fn from(key: RouteKey) -> String {
+        key.host + &key.prefix
+    }
+}
+
+impl TryFrom<String> for RouteKey {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        match text.find('/') {
+            Some(at) => Ok(RouteKey {
+                host: text[..at].to_string(),
+                prefix: text[at..].to_string(),
+            }),
+            None => Err(format!("`{text}` has no path")),
+        }
+    }
+}
+
 /// A service that a route sends requests to, with its share.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTarget {
