--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -37,11 +37,7 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(
-        record: &mangospindle_fleet::EndpointRecord,
-        now: Duration,
-        age: Duration,
-    ) -> Self {
+    pub(crate) fn new(record: &mangospindle_fleet::EndpointRecord, now: Duration) -> Self {
         Endpoint {
             instance: record.instance.clone(),
             service: record.service.clone(),
@@ -50,7 +46,7 @@
             slots: record.slots.max(1),
             state: record.state,
             misdirected: false,
-            cold_until: now + record.cold_for.saturating_sub(age),
+            cold_until: now + record.cold_for,
             cold: ColdAllowance::default(),
             load: LoadEstimate::default(),
             warm: WarmKeys::default(),
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -16,13 +16,13 @@
 const DEFAULT_COLD_START: Duration = Duration::from_secs(3);
 
 impl Dispatcher {
-    /// Takes a list of endpoints that is `age` old. Endpoints that are not listed are gone.
-    pub fn update_endpoints(&mut self, now: Duration, age: Duration, records: &[EndpointRecord]) {
+    /// Takes a list of endpoints as of `now`. Endpoints that are not listed are gone.
+    pub fn update_endpoints(&mut self, now: Duration, records: &[EndpointRecord]) {
         let listed: BTreeSet<&str> = records.iter().map(|r| r.instance.as_str()).collect();
         self.endpoints
             .retain(|_, e| listed.contains(e.instance.as_str()));
         for record in records {
-            self.update_endpoint(now, age, record);
+            self.update_endpoint(now, record);
         }
         self.by_instance = (self.endpoints.iter())
             .map(|(key, e)| (e.instance.clone(), *key))
@@ -30,16 +30,15 @@
         self.group_by_service();
     }
 
-    fn update_endpoint(&mut self, now: Duration, age: Duration, record: &EndpointRecord) {
+    fn update_endpoint(&mut self, now: Duration, record: &EndpointRecord) {
         let known = self.by_instance.get(&record.instance);
         let known = known.and_then(|key| self.endpoints.get_mut(key));
         match known {
             Some(e) if e.address == record.address && e.service == record.service => {
                 e.state = record.state;
                 e.slots = record.slots.max(1);
-                let cold_for = record.cold_for.saturating_sub(age);
-                if !cold_for.is_zero() {
-                    e.cool(now, cold_for);
+                if !record.cold_for.is_zero() {
+                    e.cool(now, record.cold_for);
                 }
             }
             _ => {
@@ -48,7 +47,7 @@
                 }
                 let key = EndpointKey(self.next_key);
                 self.next_key += 1;
-                self.endpoints.insert(key, Endpoint::new(record, now, age));
+                self.endpoints.insert(key, Endpoint::new(record, now));
                 self.by_instance.insert(record.instance.clone(), key);
             }
         }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -37,7 +37,7 @@
     pub list_digest: u64,
     /// Age of the endpoint list; `None` if the replica has none.
     pub list_age: Option<Duration>,
-    /// The endpoint list, if the caller holds another one.
+    /// The endpoint list as of sending, if the caller holds another one.
     pub list: Option<Vec<EndpointRecord>>,
 }
 
@@ -59,6 +59,15 @@
 }
 
 impl ExchangeReply {
+    /// The endpoint list as of `since_sent` after the reply was sent.
+    pub fn endpoints(&self, since_sent: Duration) -> Option<Vec<EndpointRecord>> {
+        let mut endpoints = self.list.clone()?;
+        for endpoint in &mut endpoints {
+            endpoint.cold_for = endpoint.cold_for.saturating_sub(since_sent);
+        }
+        Some(endpoints)
+    }
+
     /// Encodes the message.
     pub fn encode(&self) -> Vec<u8> {
         encode(self)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -75,15 +75,17 @@
     let Some(age) = reply.list_age else {
         return;
     };
+    // The reply was sent no earlier than it was asked for.
+    let endpoints = reply.endpoints(Duration::ZERO);
     let age = age + gateway.now().saturating_sub(asked_at);
     gateway.metrics.list_age_ms.set(age.as_millis() as i64);
     gateway.dispatch(|d, now| {
         d.update_entries(reply.region_entries);
-        if let Some(list) = &reply.list {
-            d.update_endpoints(now, age, list);
+        if let Some(endpoints) = &endpoints {
+            d.update_endpoints(now, endpoints);
         }
     });
-    if let Some(list) = reply.list {
+    if let Some(list) = endpoints {
         *known_list = reply.list_digest;
         event!(Info, "endpoints_applied", "endpoints" => list.len(),
             "age_ms" => age.as_millis(), "digest" => format!("{known_list:016x}"));
