--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -38,6 +38,20 @@
     TimedOut,
 }
 
+impl Sent {
+    /// Stable name for logs.
+    pub(crate) fn as_str(&self) -> &'static str {
+        match self {
+            Sent::Answer(_) => "answer",
+            Sent::Error(_) => "error",
+            Sent::Rejected => "rejected",
+            Sent::Unreachable => "unreachable",
+            Sent::Failed(_) => "failed",
+            Sent::TimedOut => "timed_out",
+        }
+    }
+}
+
 /// What all sends of a request have in common.
 pub(crate) struct Job<'a> {
     pub(crate) inbound: &'a Inbound,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -99,7 +99,7 @@
             if self.closing && self.answers.is_empty() {
                 return self.close().await;
             }
-            let reads = !self.closing && self.answers.len() < MAX_PIPELINED;
+            let reads = self.answers.len() < MAX_PIPELINED;
             let idle_deadline = self.idle_deadline();
             let idle = self.answers.is_empty();
             self.buf.reserve(READ_BYTES);
@@ -114,7 +114,11 @@
                         return Ok(());
                     }
                     self.last_active = Instant::now();
-                    self.take_requests().await?;
+                    match self.closing {
+                        // Not read as requests; the caller sends them again elsewhere.
+                        true => self.buf.clear(),
+                        false => self.take_requests().await?,
+                    }
                 }
                 () = sleep_until(idle_deadline), if idle => {
                     return self.time_out().await;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -113,7 +113,11 @@
         event!(Debug, "request_sent", "request" => job.id, "endpoint" => choice.instance,
             "service" => service, "expected_ms" => choice.expected.as_millis(),
             "remote" => choice.remote, "sends" => progress.sends);
+        let sent_at = gateway.now();
         let sent = attempt(gateway, &job, &choice).await;
+        event!(Debug, "request_ended", "request" => job.id, "endpoint" => choice.instance,
+            "result" => sent.as_str(), "object" => signals.affinity.as_deref().unwrap_or_default(),
+            "took_ms" => gateway.now().saturating_sub(sent_at).as_millis());
         progress.tried.push(choice.endpoint);
         let may_repeat = job.idempotent && progress.sends + 1 < route.attempts;
         match sent {
