Learn work times under load, without the wait

Cause: only answers that did not wait taught the entry how long work takes, and the wait was computed from the time on known objects; on full endpoints the expected time was too short, so that requests waited past their time. Change: the expected queue at the choice divides the elapsed time; the wait uses the mean of all requests. The outcome names the send by a ticket.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -2,7 +2,7 @@
 use super::endpoint::Endpoint;
 use crate::cold_allowance::interval;
 use crate::region_shares::RegionLoad;
-use crate::{Choice, EndpointKey, Refusal, RefusalReason, Request};
+use crate::{Choice, EndpointKey, Refusal, RefusalReason, Request, SendTicket};
 use mangospindle_model::rendezvous_score;
 use rand::Rng;
 use std::collections::BTreeMap;
@@ -40,6 +40,10 @@
     time: f64,
     /// `time` with what speaks against the endpoint.
     cost: f64,
+    /// Whether the endpoint is expected to remember the object.
+    known: bool,
+    /// Requests that must end first, relative to the slots.
+    queue: f64,
 }
 
 impl Dispatcher {
@@ -217,10 +221,10 @@
             .affinity
             .is_some_and(|object| e.warm.contains(object));
         let work = service.times.expected(known);
-        let average = service.times.expected(request.affinity.is_some());
         let slots = f64::from(e.slots);
         let load = e.load.expected(now);
-        let wait = (load + 1.0 - slots).max(0.0) * average / slots;
+        let queue = (load + 1.0 - slots).max(0.0) / slots;
+        let wait = queue * service.times.mean();
         let trip = match &e.failure_domain {
             domain if *domain == self.settings.failure_domain => DOMAIN_TRIP,
             domain if self.settings.region_of(domain) == self.settings.region() => REGION_TRIP,
@@ -233,6 +237,8 @@
             key,
             time,
             cost: (trip + wait + work * busy) * failing,
+            known,
+            queue,
         })
     }
 
@@ -250,7 +256,12 @@
         }
         e.load.sent();
         Some(Choice {
-            endpoint: candidate.key,
+            ticket: SendTicket {
+                endpoint: candidate.key,
+                affinity: request.affinity,
+                known: candidate.known,
+                queue: candidate.queue,
+            },
             address: e.address,
             instance: e.instance.clone(),
             expected: Duration::from_secs_f64(candidate.time),
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -1,40 +1,29 @@
 use super::Dispatcher;
-use crate::{EndpointKey, LoadReading, Outcome};
+use crate::{LoadReading, Outcome, SendTicket};
 use std::time::Duration;
 
 /// Failures that one request without any answer stands for.
 const SILENCE_WEIGHT: u32 = 2;
 
 impl Dispatcher {
-    /// Records the end of a request that [`Dispatcher::choose`] sent to an endpoint. `affinity` is
-    /// the object of the request. An endpoint that is gone meanwhile is ignored.
-    pub fn finished(
-        &mut self,
-        now: Duration,
-        key: EndpointKey,
-        affinity: Option<u64>,
-        outcome: Outcome,
-    ) {
-        let Some(e) = self.endpoints.get_mut(&key) else {
+    /// Records the end of a request that [`Dispatcher::choose`] sent to an endpoint. An endpoint
+    /// that is gone meanwhile is ignored.
+    pub fn finished(&mut self, now: Duration, ticket: SendTicket, outcome: Outcome) {
+        let Some(e) = self.endpoints.get_mut(&ticket.endpoint) else {
             return;
         };
-        let others_busy = e.load.expected(now) > f64::from(e.slots);
         e.load.ended();
         match outcome {
             Outcome::Answered { elapsed, load } => {
                 e.succeeded();
-                let known = affinity.is_some_and(|object| e.warm.contains(object));
-                if let Some(object) = affinity {
+                if let Some(object) = ticket.affinity {
                     e.warm.touch(object);
                 }
                 report(e, now, load);
-                let cold = e.is_cold(now);
-                let waited = others_busy || load.is_some_and(|l| l.waiting > 0);
                 if let Some(service) = self.services.get_mut(&e.service)
-                    && !waited
-                    && !cold
+                    && !e.is_cold(now)
                 {
-                    service.times.record(known, elapsed);
+                    service.times.record(ticket.known, ticket.queue, elapsed);
                 }
             }
             Outcome::Erred { load } => {
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,4 +1,4 @@
-use crate::EndpointKey;
+use crate::{EndpointKey, SendTicket};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,8 +26,8 @@
 /// The endpoint to send a request to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
-    /// Names the endpoint.
-    pub endpoint: EndpointKey,
+    /// For the report of the outcome.
+    pub ticket: SendTicket,
     /// Where it listens.
     pub address: SocketAddr,
     /// Identifier that the endpoint must have.
--- a/crates/dispatch/src/work_times.rs
+++ b/crates/dispatch/src/work_times.rs
@@ -12,6 +12,7 @@
 pub(crate) struct WorkTimes {
     known: f64,
     unknown: f64,
+    mean: f64,
 }
 
 impl Default for WorkTimes {
@@ -19,18 +20,26 @@
         WorkTimes {
             known: FIRST_KNOWN.as_secs_f64(),
             unknown: FIRST_UNKNOWN.as_secs_f64(),
+            mean: FIRST_UNKNOWN.as_secs_f64(),
         }
     }
 }
 
 impl WorkTimes {
-    /// Records the time of an answer that did not have to wait.
-    pub(crate) fn record(&mut self, known_object: bool, elapsed: Duration) {
+    /// Records the time of an answer that waited behind `queue` times the slots.
+    pub(crate) fn record(&mut self, known_object: bool, queue: f64, elapsed: Duration) {
+        let work = elapsed.as_secs_f64() / (1.0 + queue);
+        self.mean += SAMPLE_WEIGHT * (work - self.mean);
         let time = match known_object {
             true => &mut self.known,
             false => &mut self.unknown,
         };
-        *time += SAMPLE_WEIGHT * (elapsed.as_secs_f64() - *time);
+        *time += SAMPLE_WEIGHT * (work - *time);
+    }
+
+    /// Mean time of all requests in seconds.
+    pub(crate) fn mean(&self) -> f64 {
+        self.mean
     }
 
     /// Expected time in seconds, on an object that the endpoint knows or not.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -56,7 +56,6 @@
 pub(crate) struct Job<'a> {
     pub(crate) inbound: &'a Inbound,
     pub(crate) id: &'a str,
-    pub(crate) affinity: Option<u64>,
     pub(crate) idempotent: bool,
     /// When the caller needs the answer, on the local clock.
     pub(crate) deadline: Duration,
@@ -64,7 +63,7 @@
 
 /// Sends a request to the chosen endpoint and reads its answer.
 pub(crate) async fn attempt(gateway: &Rc<Gateway>, job: &Job<'_>, choice: &Choice) -> Sent {
-    let mut guard = SendGuard::new(Rc::clone(gateway), choice.endpoint, job.affinity);
+    let mut guard = SendGuard::new(Rc::clone(gateway), choice.ticket);
     let left = job.deadline.saturating_sub(gateway.now());
     let lease = match connect(gateway, choice, job.idempotent, left).await {
         Ok(lease) => lease,
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -27,10 +27,10 @@
         true => Duration::ZERO,
         false => now.saturating_sub(PROOF_TIME),
     };
-    if let Some(lease) = gateway.pool.take(choice.endpoint, now, proved_after) {
+    if let Some(lease) = gateway.pool.take(choice.ticket.endpoint, now, proved_after) {
         return Ok(lease);
     }
-    let mut lease = Lease::unopened(Arc::clone(&gateway.pool), choice.endpoint);
+    let mut lease = Lease::unopened(Arc::clone(&gateway.pool), choice.ticket.endpoint);
     let timeout = CONNECT_TIMEOUT.min(time_left);
     let connection = Connection::open(choice.address, now, timeout).await?;
     gateway.metrics.connections_opened.inc();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -90,15 +90,15 @@
     let job = Job {
         inbound,
         id: signals.id.as_deref().unwrap_or_default(),
-        affinity: signals.affinity.as_ref().map(|a| affinity(service, a)),
         idempotent: route.idempotent,
         deadline: (arrived + time).saturating_sub(ANSWER_MARGIN),
     };
+    let object = signals.affinity.as_ref().map(|a| affinity(service, a));
     let mut progress = Progress::default();
     loop {
         let request = Request {
             service,
-            affinity: job.affinity.filter(|_| route.sticky),
+            affinity: object.filter(|_| route.sticky),
             idempotent: job.idempotent,
             priority: route.priority,
             time_left: job.deadline.saturating_sub(gateway.now()),
@@ -118,7 +118,7 @@
         event!(Debug, "request_ended", "request" => job.id, "endpoint" => choice.instance,
             "result" => sent.as_str(), "object" => signals.affinity.as_deref().unwrap_or_default(),
             "took_ms" => gateway.now().saturating_sub(sent_at).as_millis());
-        progress.tried.push(choice.endpoint);
+        progress.tried.push(choice.ticket.endpoint);
         let may_repeat = job.idempotent && progress.sends + 1 < route.attempts;
         match sent {
             Sent::Answer(reply) => return reply,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use crate::{drain, follow};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
-    Choice, Dispatcher, EndpointKey, Outcome, Refusal, Request, TargetShare,
+    Choice, Dispatcher, EndpointKey, Outcome, Refusal, Request, SendTicket, TargetShare,
 };
 use mangospindle_model::{Clock, Route, RouteKey, RouteTable};
 use mangospindle_rpc::{ControlClient, ControlClientSettings};
@@ -155,10 +155,10 @@
     }
 
     /// Records the outcome of a send.
-    pub(crate) fn finished(&self, key: EndpointKey, affinity: Option<u64>, outcome: Outcome) {
+    pub(crate) fn finished(&self, ticket: SendTicket, outcome: Outcome) {
         let now = self.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
-        dispatcher.finished(now, key, affinity, outcome);
+        dispatcher.finished(now, ticket, outcome);
     }
 
     /// Position of the target of a route's next request.
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -1,5 +1,5 @@
 use crate::gateway::Gateway;
-use mangospindle_dispatch::{EndpointKey, LoadReading, Outcome};
+use mangospindle_dispatch::{LoadReading, Outcome, SendTicket};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,8 +7,7 @@
 /// request counts as cancelled by its caller.
 pub(crate) struct SendGuard {
     gateway: Rc<Gateway>,
-    endpoint: EndpointKey,
-    affinity: Option<u64>,
+    ticket: SendTicket,
     sent_at: Duration,
     /// Time to the start of the answer and the load that it reported.
     head: Option<(Duration, Option<LoadReading>)>,
@@ -17,12 +16,11 @@
 
 impl SendGuard {
     /// Guards a request that was just counted at an endpoint.
-    pub(crate) fn new(gateway: Rc<Gateway>, endpoint: EndpointKey, affinity: Option<u64>) -> Self {
+    pub(crate) fn new(gateway: Rc<Gateway>, ticket: SendTicket) -> Self {
         SendGuard {
             sent_at: gateway.now(),
             gateway,
-            endpoint,
-            affinity,
+            ticket,
             head: None,
             finished: false,
         }
@@ -43,7 +41,7 @@
     /// Reports the outcome.
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         if !std::mem::replace(&mut self.finished, true) {
-            self.gateway.finished(self.endpoint, self.affinity, outcome);
+            self.gateway.finished(self.ticket, outcome);
         }
     }
 }
