Send one object to one region and one endpoint

Cause: an endpoint remembers about 25 objects and works three times as long on others; each region has 24 objects per service, but entries spread them over all endpoints of the region and over regions, so that each object had to be learned by up to twelve endpoints, and objects pushed each other out. Change: objects map to regions by the shares, within two requests, and to one endpoint by rendezvous hashing while its queue allows.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -24,10 +24,6 @@
 /// Cost of a full endpoint that is not yet queueing, relative to an idle one.
 const BUSY_COST: f64 = 0.15;
 
-/// Advantage of the endpoint that all entries would choose for an object that none of the
-/// candidates is known to remember.
-const PREFERRED_COST: f64 = 0.9;
-
 /// Longest part of the remaining time after which callers honour a `Retry-After`.
 const RETRY_AFTER_PART: f64 = 0.3;
 
@@ -97,7 +93,9 @@
         let service = self.services.get_mut(request.service)?;
         service.shares.update(now, &own, count, &loads);
         let turn = match request.tried.is_empty() {
-            true => service.shares.next(regions.iter().map(String::as_str)),
+            true => service
+                .shares
+                .next(regions.iter().map(String::as_str), request.affinity),
             // A second send stays near.
             false => regions.iter().find(|r| **r == own).map(String::as_str),
         };
@@ -193,17 +191,13 @@
             })
         });
         let preferred = self.preferred(request, &keys);
-        let candidates = keys.into_iter().filter_map(|key| {
-            let mut candidate = self.assess(now, key, request)?;
-            if preferred == Some(key) {
-                candidate.cost *= PREFERRED_COST;
-            }
-            Some(candidate)
-        });
+        let candidates = keys
+            .into_iter()
+            .filter_map(|key| self.assess(now, key, request, preferred == Some(key)));
         candidates.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
-    /// The endpoint that all entries choose for an object, if none is known to remember it.
+    /// The endpoint that all entries of the region choose for an object, so that it soon knows it.
     fn preferred(&self, request: &Request<'_>, keys: &[EndpointKey]) -> Option<EndpointKey> {
         let object = request.affinity?;
         let score = |key: &&EndpointKey| {
@@ -214,13 +208,24 @@
         keys.iter().max_by_key(score).copied()
     }
 
-    fn assess(&self, now: Duration, key: EndpointKey, request: &Request<'_>) -> Option<Candidate> {
+    fn assess(
+        &self,
+        now: Duration,
+        key: EndpointKey,
+        request: &Request<'_>,
+        preferred: bool,
+    ) -> Option<Candidate> {
         let e = self.endpoints.get(&key)?;
         let service = self.services.get(request.service)?;
         let known = request
             .affinity
             .is_some_and(|object| e.warm.contains(object));
-        let work = service.times.expected(known);
+        let work = match (known, preferred) {
+            (false, true) => service.times.mean(),
+            (known, _) => service.times.expected(known),
+        };
+        // Others may have sent the object there.
+        let likely_work = service.times.expected(known || preferred);
         let slots = f64::from(e.slots);
         let load = e.load.expected(now);
         let queue = (load + 1.0 - slots).max(0.0) / slots;
@@ -236,7 +241,7 @@
         Some(Candidate {
             key,
             time,
-            cost: (trip + wait + work * busy) * failing,
+            cost: (trip + wait + likely_work * busy) * failing,
             known,
             queue,
         })
--- a/crates/dispatch/src/region_shares.rs
+++ b/crates/dispatch/src/region_shares.rs
@@ -13,6 +13,9 @@
 /// Load of the own region, relative to its slots, above which requests leave it.
 const HEAVY_LOAD: f64 = 0.9;
 
+/// Requests that a region may be ahead of its share so that its endpoints get objects they know.
+const MAX_DEVIATION: f64 = 2.0;
+
 /// Slots of a service in a region, and the requests in progress at them.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct RegionLoad {
@@ -80,24 +83,33 @@
         }
     }
 
-    /// The region of the next request among those that may serve it: the one that is furthest
-    /// behind its share.
-    pub(crate) fn next<'a, I>(&mut self, regions: I) -> Option<&'a str>
+    /// The region of the next request among those that may serve it.
+    ///
+    /// Requests for one object go to one region, whose endpoints then know it, as long as no
+    /// region is more than [`MAX_DEVIATION`] requests off its share; otherwise the region that is
+    /// furthest behind its share is next.
+    pub(crate) fn next<'a, I>(&mut self, regions: I, object: Option<u64>) -> Option<&'a str>
     where
         I: Iterator<Item = &'a str>,
     {
         let regions: Vec<&str> = regions.collect();
         let share = |name: &str| self.shares.get(name).copied().unwrap_or(0.0);
         let total: f64 = regions.iter().map(|r| share(r)).sum();
-        for region in &regions {
-            let part = match total > 0.0 {
-                true => share(region) / total,
-                false => 1.0 / regions.len() as f64,
-            };
+        let part = |name: &str| match total > 0.0 {
+            true => share(name) / total,
+            false => 1.0 / regions.len() as f64,
+        };
+        let parts: Vec<f64> = regions.iter().map(|r| part(r)).collect();
+        for (region, part) in regions.iter().zip(&parts) {
             *self.credit.entry((*region).to_string()).or_default() += part;
         }
+        let wanted = object.and_then(|object| region_of_object(object, &parts));
         let credit = |r: &&str| self.credit.get(*r).copied().unwrap_or(0.0);
-        let chosen = (regions.iter().copied()).max_by(|a, b| credit(a).total_cmp(&credit(b)))?;
+        let behind = (regions.iter().copied()).max_by(|a, b| credit(a).total_cmp(&credit(b)))?;
+        let chosen = match wanted.map(|i| regions[i]) {
+            Some(region) if credit(&region) > -MAX_DEVIATION => region,
+            _ => behind,
+        };
         if let Some(credit) = self.credit.get_mut(chosen) {
             *credit -= 1.0;
         }
@@ -105,6 +117,17 @@
     }
 }
 
+/// Position of the region whose part of the range of all objects holds this one.
+fn region_of_object(object: u64, parts: &[f64]) -> Option<usize> {
+    let place = object as f64 / u64::MAX as f64;
+    let mut end = 0.0;
+    let found = parts.iter().position(|part| {
+        end += part;
+        place < end
+    });
+    found.or_else(|| parts.iter().rposition(|part| *part > 0.0))
+}
+
 /// Shares that load all slots alike if all regions have the same demand.
 fn balanced(
     own: &str,
