Read the list of endpoints at once after an election

Cause: a new leader waited one interval (0.7 s) before its first reading, while restarted entries had routes and no endpoints. Change: a leader reads at once; the web server's lines about its listeners are left out of the logs.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -15,6 +15,9 @@
 /// Interval between two readings of the list by the reader.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Interval between checks whether a reading is due.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Age of the list from which a replica that does not lead reads it itself. Above the age that a
 /// list has when it arrives from the leader's replica.
 const STALE_LIST: Duration = Duration::from_millis(2200);
@@ -35,14 +38,20 @@
     S: EndpointSource,
 {
     let mut reachable = true;
+    let mut led = false;
+    let mut read_at = Duration::ZERO;
     loop {
-        tokio::time::sleep(READ_INTERVAL).await;
+        tokio::time::sleep(CHECK_INTERVAL).await;
         let started = clock.now();
         let leads = published.role.get() == Role::Leader && !published.cut_off(started);
+        let elected = leads && !std::mem::replace(&mut led, leads);
         let age = published.fleet().list_age(started);
-        if !leads && age.is_some_and(|age| age < STALE_LIST) {
+        let stale = age.is_none_or(|age| age >= STALE_LIST);
+        let due = started >= read_at + READ_INTERVAL && (leads || stale);
+        if !elected && !due {
             continue;
         }
+        read_at = started;
         let result = source.read().await;
         if result.is_ok() != reachable {
             reachable = result.is_ok();
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -10,6 +10,7 @@
     fern::Dispatch::new()
         .level(level)
         .level_for("actix_http", level.min(LevelFilter::Info))
+        .level_for("actix_server", level.min(LevelFilter::Warn))
         .format(move |out, message, record| {
             // The wall clock only labels the line; nothing is decided by it.
             let time_ms = SystemTime::now()
