Keep queues as short as the target latency allows

Cause: requests were sent as long as an answer was expected within the caller's time. Under load all endpoints had queues of that length, so that every answer was late and nothing more was served; work on unknown objects, three times as long, went where the queue was short and pushed other objects out. Change: a request waits at most as long as one for a known object still meets its target latency; work on an unknown object counts twice in the cost.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -21,6 +21,14 @@
 /// Cost of an endpoint whose requests all fail, as a multiple of the cost of a sound one.
 const FAILURE_COST: f64 = 6.0;
 
+/// Cost of work on an object that an endpoint does not know, relative to its time: it also delays
+/// the requests behind it, and displaces another object from the endpoint's memory.
+const UNKNOWN_COST: f64 = 2.0;
+
+/// Shortest limit of the wait, relative to the mean time of work. Without any queue, slots would be
+/// idle between two requests.
+const MIN_WAIT_PART: f64 = 0.3;
+
 /// Cost of a full endpoint that is not yet queueing, relative to an idle one.
 const BUSY_COST: f64 = 0.15;
 
@@ -36,6 +44,8 @@
     time: f64,
     /// `time` with what speaks against the endpoint.
     cost: f64,
+    /// Expected wait in the endpoint, in seconds.
+    wait: f64,
     /// Whether the endpoint is expected to remember the object.
     known: bool,
     /// Requests that must end first, relative to the slots.
@@ -55,9 +65,9 @@
         let Some(best) = self.best(now, request) else {
             return Err(self.refusal(RefusalReason::NoEndpoint, request, 0.0));
         };
-        let limit = self.limit(request);
-        if best.time > limit {
-            return Err(self.refusal(RefusalReason::TooLate, request, best.time - limit));
+        let excess = (best.time - self.limit(request)).max(best.wait - self.wait_limit(request));
+        if excess > 0.0 {
+            return Err(self.refusal(RefusalReason::TooLate, request, excess));
         }
         if request.tried.is_empty()
             && let Some(service) = self.services.get_mut(request.service)
@@ -84,6 +94,22 @@
         }
     }
 
+    /// Longest expected wait in an endpoint, in seconds.
+    ///
+    /// A longer queue serves no more requests, but makes all of them late. Requests therefore wait
+    /// only as long as one for a known object still meets its target latency.
+    fn wait_limit(&self, request: &Request<'_>) -> f64 {
+        let service = self.services.get(request.service);
+        match service {
+            Some(service) if !request.target_latency.is_zero() => {
+                let target = request.target_latency.as_secs_f64();
+                let work = service.times.expected(request.affinity.is_some());
+                (target - work).max(MIN_WAIT_PART * service.times.mean())
+            }
+            _ => f64::INFINITY,
+        }
+    }
+
     /// The best endpoint of the region whose turn it is, or of the others if it has none.
     fn best(&mut self, now: Duration, request: &Request<'_>) -> Option<Candidate> {
         let regions = self.usable_regions(now, request);
@@ -225,7 +251,10 @@
             (known, _) => service.times.expected(known),
         };
         // Others may have sent the object there.
-        let likely_work = service.times.expected(known || preferred);
+        let likely_work = match known || preferred {
+            true => service.times.expected(true),
+            false => service.times.expected(false) * UNKNOWN_COST,
+        };
         let slots = f64::from(e.slots);
         let load = e.load.expected(now);
         let queue = (load + 1.0 - slots).max(0.0) / slots;
@@ -242,6 +271,7 @@
             key,
             time,
             cost: (trip + wait + likely_work * busy) * failing,
+            wait,
             known,
             queue,
         })
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -15,6 +15,8 @@
     pub priority: u32,
     /// Time until the caller needs the answer.
     pub time_left: Duration,
+    /// Time within which an answer has its full value to the caller; zero if there is none.
+    pub target_latency: Duration,
     /// Regions that may serve the request; all of them if empty.
     pub home_regions: &'a [String],
     /// Endpoints that the request was sent to before, or that could not be reached.
--- /dev/null
+++ b/crates/emulator/src/bin/mangospindle-experiment.rs
@@ -0,0 +1,65 @@
+//! Compares ways to dispatch requests on the same arrivals.
+
+use bpaf::{OptionParser, Parser, construct, long};
+use mangospindle_emulator::{Class, Policy, Scenario, Service, plot_svg, run};
+use miette::{IntoDiagnostic, Result};
+use std::path::PathBuf;
+use std::time::Duration;
+
+struct Options {
+    seed: u64,
+    load: f64,
+    plot: Option<PathBuf>,
+}
+
+fn options() -> OptionParser<Options> {
+    let seed = long("seed").help("Seed").argument("N").fallback(1);
+    let load = long("load")
+        .help("Requests a second, relative to what the slots can do on objects they know")
+        .argument("X")
+        .fallback(0.7);
+    let plot = long("plot")
+        .help("Write a plot to this file")
+        .argument::<PathBuf>("FILE.svg")
+        .optional();
+    construct!(Options { seed, load, plot })
+        .to_options()
+        .descr("Plays three regions under each policy and prints what callers get")
+}
+
+fn main() -> Result<()> {
+    let options = options().run();
+    let service = Service {
+        name: "views".to_string(),
+        endpoints: vec![1, 2, 3, 1, 2, 3],
+        slots: 3,
+        queue: 9,
+        work: Duration::from_millis(360),
+        known_part: 0.3,
+        remembered: 25,
+        cold_rate: 5.2,
+        cold_start: Duration::from_secs(3),
+    };
+    let capacity = 36.0 / (service.work.as_secs_f64() * service.known_part);
+    let class = Class {
+        name: "view".to_string(),
+        service: 0,
+        rate: options.load * capacity / 6.0,
+        target_latency: Duration::from_millis(250),
+        deadline: Duration::from_millis(800),
+        idempotent: true,
+        objects: 24,
+    };
+    let scenario = Scenario::three_regions(service, class);
+    let mut reports = Vec::new();
+    for policy in Policy::ALL {
+        let report = run(&scenario, policy, options.seed);
+        println!("{policy}\n{report}\n");
+        reports.push((policy.to_string(), report));
+    }
+    if let Some(path) = options.plot {
+        let title = format!("load {}, seed {}", options.load, options.seed);
+        std::fs::write(path, plot_svg(&title, &reports)).into_diagnostic()?;
+    }
+    Ok(())
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -102,6 +102,7 @@
             idempotent: job.idempotent,
             priority: route.priority,
             time_left: job.deadline.saturating_sub(gateway.now()),
+            target_latency: route.target_latency,
             home_regions: &route.home_regions,
             tried: &progress.tried,
             repeated: progress.sends > 0,
