--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -515,6 +515,9 @@
     }
 
     fn finish(mut self) -> Report {
+        let whole_windows = (self.scenario.length.as_millis() / SHIFT_WINDOW.as_millis()) as u64;
+        self.runs
+            .retain(|(window, _, _), _| *window < whole_windows);
         self.report.largest_shift = largest_shift(&self.runs);
         let shares = self.by_second.iter().filter(|(_, asked)| *asked > 0);
         self.report.on_target_by_second = shares
