Stagger the first elections; write logs on a thread of their own

And log lines were written by the request path, without a bound. Change: the first election timeout grows with the position among the voters, by a little more than the two round trips of an election. Ruled out: a wider random range, which makes splits rarer but the wait longer.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -113,8 +113,7 @@
             results: Vec::new(),
             outputs: Vec::new(),
         };
-        let first = node.settings.timing.first_election;
-        node.election_deadline = now + node.random.random_range(first / 4..=first);
+        node.election_deadline = now + node.first_election_timeout();
         node.finish_forming();
         Ok(node)
     }
@@ -305,6 +304,16 @@
         self.reset_election_timer(now);
     }
 
+    /// Grows with the position of this voter among all voters.
+    fn first_election_timeout(&self) -> Duration {
+        let timing = &self.settings.timing;
+        let voters = &self.membership().voters;
+        match voters.iter().position(|v| *v == self.member()) {
+            Some(position) => timing.first_election_step * (position as u32 + 1),
+            None => timing.election_max,
+        }
+    }
+
     fn reset_election_timer(&mut self, now: Duration) {
         let timing = &self.settings.timing;
         let timeout = self
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -26,10 +26,11 @@
     pub election_min: Duration,
     /// Longest election timeout. A leader that no majority has answered for this long steps down.
     pub election_max: Duration,
-    /// Longest election timeout of a replica that has just started; the shortest is a quarter of it.
-    /// After a restart of all replicas nobody leads, and a replica that returns while one leads is
-    /// kept from disturbing it by the pre-vote.
-    pub first_election: Duration,
+    /// Difference between the first election timeouts of two voters that have just started. After a
+    /// restart of all replicas nobody leads; the voters then ask one after the other, so that they
+    /// do not split the votes. A replica that returns while one leads is kept from disturbing it by
+    /// the pre-vote.
+    pub first_election_step: Duration,
     /// How long the leader waits for the answer to a snapshot before it sends the snapshot again.
     pub snapshot_retry: Duration,
     /// Bytes of entries sent to a follower and not yet acknowledged. At least one entry is always
@@ -51,7 +52,8 @@
             heartbeat: Duration::from_millis(100),
             election_min: Duration::from_millis(500),
             election_max: Duration::from_millis(1000),
-            first_election: Duration::from_millis(400),
+            // A pre-vote and a vote between regions take two round trips of 40 ms.
+            first_election_step: Duration::from_millis(90),
             snapshot_retry: Duration::from_secs(5),
             max_in_flight_bytes: 4 << 20,
             max_in_flight_appends: 32,
--- a/crates/consensus/tests/cluster/simulation.rs
+++ b/crates/consensus/tests/cluster/simulation.rs
@@ -64,7 +64,7 @@
             max_in_flight_appends: 8,
             max_append_bytes: if hasty { 60 } else { 200 },
             keep_entries: 3,
-            first_election: Duration::from_millis(shortest),
+            first_election_step: Duration::from_millis(shortest / 5),
             snapshot_retry: Duration::from_millis(500),
             heartbeat: Duration::from_millis(shortest / 5),
             election_min: Duration::from_millis(shortest),
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -277,3 +277,37 @@
         assert!((case.holds)(), "{}", case.name);
     }
 }
+
+/// Guards against voters that all ask for votes at once after a restart of all replicas, and split
+/// them again and again.
+#[test]
+fn voters_ask_one_after_the_other_after_a_restart() {
+    let asks_after = |replica: u32| {
+        let first = entry(1, 1, Payload::Membership(membership(&[0, 1, 2])));
+        let recovered = Recovered {
+            hard_state: HardState {
+                term: 2,
+                ..HardState::default()
+            },
+            snapshot: None,
+            entries: vec![first],
+        };
+        let settings = NodeSettings {
+            member: member(replica),
+            replicas: (0..3).map(ReplicaId).collect(),
+            open: false,
+            may_form: true,
+            timing: Timing::default(),
+        };
+        let mut node = Node::new(settings, recovered, 1, Duration::ZERO).expect("a sound log");
+        let asks = |node: &mut Node, ms: u64| {
+            let outputs = node.step(Duration::from_millis(ms), Input::Tick);
+            sends(&outputs, |k| matches!(k, MessageKind::PreVote { .. })).is_some()
+        };
+        (0..1000).find(|ms| asks(&mut node, *ms)).expect("it asks")
+    };
+    let times = [0, 1, 2].map(asks_after);
+    let round_trips = 80;
+    assert!(times[1] >= times[0] + round_trips, "{times:?}");
+    assert!(times[2] >= times[1] + round_trips, "{times:?}");
+}
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -32,7 +32,7 @@
             }
             Outcome::Rejected { load } => {
                 // Without a full queue there was no need to reject the request.
-                if !load.is_some_and(|l| l.waiting > 0) {
+                if load.is_none_or(|l| l.waiting == 0) {
                     e.failed(now, 0);
                 }
                 report(e, now, load);
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -1,5 +1,7 @@
 //! Choices of one entry.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use mangospindle_dispatch::{
     Choice, DispatchSettings, Dispatcher, LoadReading, Outcome, RefusalReason, Request, TargetShare,
 };
--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -1,5 +1,7 @@
 //! Views that pass from replica to replica and to entries.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use mangospindle_fleet::{
     Caller, EndpointList, EndpointRecord, EndpointState, EntryAnnouncement, ExchangeRequest, Fleet,
 };
--- a/crates/storage/examples/measure.rs
+++ b/crates/storage/examples/measure.rs
@@ -117,7 +117,7 @@
     fn settle(&mut self) -> Result<(), Box<dyn Error>> {
         loop {
             while let Some(message) = self.messages.pop_front() {
-                let to = usize::from(message.to.replica.0);
+                let to = message.to.replica.0 as usize;
                 self.step(to, vec![Input::Message(message)])?;
             }
             for number in 0..self.replicas.len() {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,9 +3,11 @@
 //! Each log line is one JSON object with the time, level, module and message. A message starts with
 //! a stable event name in the `event` field when it is logged with [`event!`].
 
+mod line_writer;
 mod logging;
 mod metrics_text;
 
+pub use line_writer::LineWriter;
 pub use logging::{init_logging, json_line};
 pub use metrics_text::metrics_text;
 
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -1,3 +1,4 @@
+use crate::LineWriter;
 use log::LevelFilter;
 use miette::{IntoDiagnostic, Result};
 use serde_json::{Map, Value, json};
@@ -7,6 +8,8 @@
 pub fn init_logging(process: &str, level: &str) -> Result<()> {
     let process = process.to_string();
     let level: LevelFilter = level.parse().into_diagnostic()?;
+    let writer = LineWriter::start(std::io::stdout()).into_diagnostic()?;
+    let output = fern::Output::call(move |record| writer.write(record.args().to_string()));
     fern::Dispatch::new()
         .level(level)
         .level_for("actix_http", level.min(LevelFilter::Info))
@@ -29,7 +32,7 @@
             }
             out.finish(format_args!("{}", Value::Object(line)));
         })
-        .chain(std::io::stdout())
+        .chain(output)
         .apply()
         .into_diagnostic()
 }
