--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -16,13 +16,15 @@
 
 /// A running deployment on loopback.
 pub struct Cluster {
-    settings: ClusterSettings,
-    /// The proxy between all processes.
-    pub proxy: Proxy,
     processes: BTreeMap<Node, Process>,
     standin_processes: Vec<Process>,
     /// The stand-ins.
     pub standins: Standins,
+    /// The proxy between all processes.
+    pub proxy: Proxy,
+    // Holds the port block, which another test may take as soon as it is dropped: after everything
+    // that listens in it.
+    settings: ClusterSettings,
     // Removed last.
     directory: TempDir,
 }
--- a/crates/harness/src/proxy.rs
+++ b/crates/harness/src/proxy.rs
@@ -11,6 +11,9 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest wait for connections when a proxy is dropped.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A directed pair of nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LinkKey {
@@ -112,8 +115,11 @@
 impl Drop for Proxy {
     fn drop(&mut self) {
         // A runtime must not be dropped on a thread that runs another one, as tests do.
+        // Its listeners are closed when this returns.
         if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
+            let closed = std::thread::spawn(move || runtime.shutdown_timeout(SHUTDOWN_TIMEOUT));
+            // A panic of the thread leaves nothing to close.
+            let _ = closed.join();
         }
     }
 }
