Share the command line, the header filter and the log level check

Three processes had a copy of the same command line, two of the same filter of hop-by-hop headers, four of the same check. One copy each now stands in settings and client.

--- a/crates/gateway/src/headers.rs
+++ b/crates/client/src/headers.rs
@@ -1,8 +1,8 @@
-//! Header rules.
+//! Headers that concern one connection only.
 
 use actix_web::http::header::{CONNECTION, HeaderMap};
 
-/// Headers that concern one connection, and those that each hop sets anew.
+/// Hop-by-hop headers, and the length, which each hop sets anew.
 const HOP_BY_HOP: [&str; 10] = [
     "connection",
     "keep-alive",
@@ -16,25 +16,28 @@
     "content-length",
 ];
 
-/// Copies the headers that are meant for the other end.
-pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<String> = (headers.get_all(CONNECTION))
+/// Copies the headers that are meant for the other end, without those in `dropped`.
+pub fn end_to_end(headers: &HeaderMap, dropped: &[&str]) -> HeaderMap {
+    let mut copy = HeaderMap::with_capacity(headers.len());
+    let named: Vec<&str> = (headers.get_all(CONNECTION))
         .filter_map(|v| v.to_str().ok())
         .flat_map(|v| v.split(','))
-        .map(|v| v.trim().to_ascii_lowercase())
+        .map(str::trim)
         .collect();
-    let mut copy = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
         let text = name.as_str();
-        if !HOP_BY_HOP.contains(&text) && !named.iter().any(|n| n == text) {
+        let left_out = HOP_BY_HOP.contains(&text)
+            || dropped.contains(&text)
+            || named.iter().any(|n| n.eq_ignore_ascii_case(text));
+        if !left_out {
             copy.append(name.clone(), value.clone());
         }
     }
     copy
 }
 
-/// Size of all names and values, in bytes.
-pub(crate) fn total_bytes(headers: &HeaderMap) -> u64 {
+/// Sum of the lengths of all names and values.
+pub fn total_bytes(headers: &HeaderMap) -> usize {
     let sizes = headers.iter().map(|(n, v)| n.as_str().len() + v.len());
-    sizes.sum::<usize>() as u64
+    sizes.sum()
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -33,7 +33,7 @@
 mod vm_tracker;
 mod wall_clock;
 
-pub use command::{Command, command, run_command};
+pub use command::{command, run_command};
 pub use fleet_view::EndpointSource;
 pub use operator_handle::OperatorHandle;
 pub use options::{FirstConfig, ReplicaOptions, Replicas};
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -1,6 +1,6 @@
 //! Header names and rules.
 
-use actix_web::http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 
 /// Remaining time of the request in milliseconds.
 pub(crate) const DEADLINE: &str = "x-deadline-ms";
@@ -29,24 +29,8 @@
 /// Largest sum of header names and values of a request, in bytes.
 pub(crate) const MAX_HEADER_BYTES: usize = 16 * 1024;
 
-/// Hop-by-hop headers, and headers that each hop sets anew.
-const NOT_FORWARDED: [&str; 15] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    "host",
-    "content-length",
-    DEADLINE,
-    PERMIT,
-    INGRESS,
-];
+/// Headers that each hop sets anew, or that say nothing to the other end.
+const SET_BY_HOPS: [&str; 5] = ["expect", "host", DEADLINE, PERMIT, INGRESS];
 
 /// Headers that only entries set; what callers and endpoints send under these names is dropped.
 const SET_BY_ENTRIES: [&str; 6] = [
@@ -60,22 +44,7 @@
 
 /// Copies the headers that are meant for the other end.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let mut copy = HeaderMap::with_capacity(headers.len());
-    let named: Vec<&str> = (headers.get_all(CONNECTION))
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(str::trim)
-        .collect();
-    for (name, value) in headers {
-        let text = name.as_str();
-        let dropped = NOT_FORWARDED.contains(&text)
-            || SET_BY_ENTRIES.contains(&text)
-            || named.iter().any(|n| n.eq_ignore_ascii_case(text));
-        if !dropped {
-            copy.append(name.clone(), value.clone());
-        }
-    }
-    copy
+    mangospindle_client::end_to_end(headers, &[&SET_BY_HOPS[..], &SET_BY_ENTRIES[..]].concat())
 }
 
 /// Sets a header. A value that is not allowed in headers is left out.
@@ -89,11 +58,3 @@
 pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
-
-/// Sum of the lengths of all names and values.
-pub(crate) fn total_bytes(headers: &HeaderMap) -> usize {
-    headers
-        .iter()
-        .map(|(n, v)| n.as_str().len() + v.len())
-        .sum()
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -62,7 +62,7 @@
 mod tracked_body;
 mod vm_list;
 
-pub use command::{Command, command, run_command};
+pub use command::{command, run_command};
 pub use control::Control;
 pub use run::run;
 pub use server::EntryServer;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,16 +2,14 @@
 
 use crate::connect::connect;
 use crate::gateway::Gateway;
-use crate::headers;
 use crate::inbound::Inbound;
 use crate::reply::{Reply, ReplyBody, Streamed};
 use crate::send_guard::SendGuard;
 use actix_web::http::Method;
-use actix_web::http::header::HOST;
 use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream};
 use mangospindle_client::{
-    BodyFraming, BodyStream, Exchange, ExchangeError, RequestHead, ResponseHead, Upload,
+    BodyFraming, BodyStream, Exchange, ExchangeError, RequestHead, ResponseHead, Upload, end_to_end,
 };
 use mangospindle_dispatch::{Choice, EndpointKey, Outcome};
 use std::future::poll_fn;
@@ -105,9 +103,7 @@
     choice: &Choice,
     left: Duration,
 ) -> Result<Upload, ExchangeError> {
-    let mut headers = headers::end_to_end(&job.inbound.headers);
-    headers.remove(HOST);
-    headers.remove("expect");
+    let mut headers = end_to_end(&job.inbound.headers, &["host", "expect"]);
     gateway
         .protocol
         .mark_request(&mut headers, &choice.instance, left);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,6 @@
 mod follow;
 mod forward;
 mod gateway;
-mod headers;
 mod inbound;
 mod metrics;
 mod protocol;
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -1,9 +1,8 @@
-use crate::headers;
 use crate::send_guard::SendGuard;
 use actix_web::http::StatusCode;
 use actix_web::http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use bytes::Bytes;
-use mangospindle_client::{Exchange, ResponseHead};
+use mangospindle_client::{Exchange, ResponseHead, end_to_end};
 use mangospindle_dispatch::EndpointKey;
 use mangospindle_model::ErrorKind;
 use std::time::Duration;
@@ -44,7 +43,7 @@
     pub(crate) fn from_endpoint(head: &ResponseHead, body: ReplyBody) -> Self {
         Reply {
             status: head.status,
-            headers: headers::end_to_end(&head.headers),
+            headers: end_to_end(&head.headers, &[]),
             body,
             closes: false,
         }
--- a/crates/settings/src/control_settings.rs
+++ b/crates/settings/src/control_settings.rs
@@ -1,4 +1,4 @@
-use crate::entry_settings::{default_log_level, is_log_level};
+use crate::entry_settings::{check_log_level, default_log_level};
 use crate::source::{Source, place};
 use crate::{SettingsError, TokenSettings};
 use serde::Deserialize;
@@ -105,13 +105,7 @@
                 Some("64 hexadecimal digits, as `sha256sum` prints them".to_string()),
             ));
         }
-        if !is_log_level(&settings.log_level) {
-            return Err(source.error(
-                &place!["log_level"],
-                format!("`{}` is not a log level", settings.log_level),
-                Some("use `error`, `warn`, `info`, `debug` or `trace`".to_string()),
-            ));
-        }
+        check_log_level(source, &settings.log_level)?;
         Ok(settings)
     }
 }
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -34,8 +34,20 @@
     "info".to_string()
 }
 
+/// Refuses a log level that does not exist.
+pub(crate) fn check_log_level(source: &Source, level: &str) -> Result<(), SettingsError> {
+    match is_log_level(level) {
+        true => Ok(()),
+        false => Err(source.error(
+            &place!["log_level"],
+            format!("`{level}` is not a log level"),
+            Some("use `error`, `warn`, `info`, `debug` or `trace`".to_string()),
+        )),
+    }
+}
+
 /// Checks a log level name.
-pub(crate) fn is_log_level(level: &str) -> bool {
+fn is_log_level(level: &str) -> bool {
     matches!(level, "error" | "warn" | "info" | "debug" | "trace")
 }
 
@@ -72,12 +84,10 @@
                 "no control replica is listed".to_string(),
                 Some("list the RPC address of each control replica, nearest first".to_string()),
             )),
-            None if !is_log_level(&settings.log_level) => Err(source.error(
-                &place!["log_level"],
-                format!("`{}` is not a log level", settings.log_level),
-                Some("use `error`, `warn`, `info`, `debug` or `trace`".to_string()),
-            )),
-            None => Ok(settings),
+            None => {
+                check_log_level(source, &settings.log_level)?;
+                Ok(settings)
+            }
         }
     }
 }
--- a/crates/settings/src/gateway_settings.rs
+++ b/crates/settings/src/gateway_settings.rs
@@ -1,6 +1,6 @@
 use crate::SettingsError;
 use crate::duration_text::DurationText;
-use crate::entry_settings::{default_log_level, is_log_level};
+use crate::entry_settings::{check_log_level, default_log_level};
 use crate::source::{Source, place};
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -76,12 +76,10 @@
                 "no control replica is listed".to_string(),
                 Some("list the address of at least one control replica".to_string()),
             )),
-            () if !is_log_level(&settings.log_level) => Err(source.error(
-                &place!["log_level"],
-                format!("`{}` is not a log level", settings.log_level),
-                Some("use `error`, `warn`, `info`, `debug` or `trace`".to_string()),
-            )),
-            () => Ok(settings),
+            () => {
+                check_log_level(source, &settings.log_level)?;
+                Ok(settings)
+            }
         }
     }
 }
