Treat endpoints that were unreachable as cold when they answer

An endpoint counted as cold from the last failed connection on, not from its return; and the pace of an entry at a cold endpoint follows the number of entries that its replica knows, which is too low while that replica is cut off or has just started. Change: cold from the first answer after a failed connection; the number of entries falls by a sixteenth in an update at most. Tests failed before. Ruled out: the cold time in the list, which is counted once over all hops.

--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -34,6 +34,8 @@
     pub(crate) failures: f64,
     failed_in_row: u32,
     ejected_until: Duration,
+    /// Whether no connection could be opened since the last answer.
+    unreachable: bool,
 }
 
 impl Endpoint {
@@ -53,6 +55,7 @@
             failures: 0.0,
             failed_in_row: 0,
             ejected_until: Duration::ZERO,
+            unreachable: false,
         }
     }
 
@@ -77,9 +80,20 @@
         self.failed_in_row >= EJECT_AFTER
     }
 
-    pub(crate) fn succeeded(&mut self) {
+    /// Records an answer. An endpoint that could not be reached before may have been started again;
+    /// it is cold from then on for `cold_start`.
+    pub(crate) fn succeeded(&mut self, now: Duration, cold_start: Duration) {
         self.failed_in_row = 0;
         self.failures -= FAILURE_WEIGHT * self.failures;
+        if std::mem::take(&mut self.unreachable) {
+            self.cool(now, cold_start);
+        }
+    }
+
+    /// Records that no connection could be opened.
+    pub(crate) fn unreachable(&mut self, now: Duration) {
+        self.unreachable = true;
+        self.failed(now, 1);
     }
 
     /// Records a failure; `weight` failures in a row.
--- a/crates/dispatch/src/dispatcher/observe.rs
+++ b/crates/dispatch/src/dispatcher/observe.rs
@@ -1,4 +1,5 @@
 use super::Dispatcher;
+use super::update::DEFAULT_COLD_START;
 use crate::{LoadReading, Outcome, SendTicket};
 use std::time::Duration;
 
@@ -13,9 +14,11 @@
             return;
         };
         e.load.ended();
+        let service = self.routes.services.get(&e.service);
+        let cold_start = service.map_or(DEFAULT_COLD_START, |s| s.cold_start);
         match outcome {
             Outcome::Answered { elapsed, load } => {
-                e.succeeded();
+                e.succeeded(now, cold_start);
                 if let Some(object) = ticket.affinity {
                     e.warm.touch(object);
                 }
@@ -38,10 +41,7 @@
                 report(e, now, load);
             }
             Outcome::Misdirected => e.misdirected = true,
-            Outcome::Unreachable => {
-                e.failed(now, 1);
-                cool_after_loss(e, now, &self.routes);
-            }
+            Outcome::Unreachable => e.unreachable(now),
             Outcome::Failed => e.failed(now, 1),
             Outcome::TimedOut => e.failed(now, SILENCE_WEIGHT),
             Outcome::Cancelled => {}
@@ -55,14 +55,3 @@
         e.load.report(now, load);
     }
 }
-
-/// An endpoint that accepts no connection may be restarting; it is cold when it is back.
-fn cool_after_loss(
-    e: &mut super::endpoint::Endpoint,
-    now: Duration,
-    routes: &mangospindle_model::RouteTable,
-) {
-    if let Some(service) = routes.services.get(&e.service) {
-        e.cool(now, service.cold_start);
-    }
-}
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -12,8 +12,11 @@
 /// start: they may have started at its end, and the list that says so arrives later.
 const EVACUATION_MARGIN: Duration = Duration::from_secs(2);
 
+/// Largest part by which the number of entries falls in one update, as a fraction of one.
+const ENTRIES_FALL: u32 = 16;
+
 /// Cold start of an endpoint whose service is not known.
-const DEFAULT_COLD_START: Duration = Duration::from_secs(3);
+pub(super) const DEFAULT_COLD_START: Duration = Duration::from_secs(3);
 
 impl Dispatcher {
     /// Takes a list of endpoints as of `now`. Endpoints that are not listed are gone.
@@ -73,9 +76,12 @@
         self.group_by_service();
     }
 
-    /// Takes the number of live entries in the own region.
+    /// Takes the number of live entries in the own region. It falls slowly: a control replica that
+    /// was cut off or has just started knows too few, and all entries that hear it would then send
+    /// too much to cold endpoints.
     pub fn update_entries(&mut self, region_entries: u32) {
-        self.region_entries = region_entries.max(1);
+        let least = self.region_entries - self.region_entries / ENTRIES_FALL;
+        self.region_entries = region_entries.max(least).max(1);
     }
 
     fn group_by_service(&mut self) {
--- a/crates/dispatch/tests/choices.rs
+++ b/crates/dispatch/tests/choices.rs
@@ -340,3 +340,58 @@
         assert_eq!(counts, [18, 2, 0]);
     }
 }
+
+/// Guards against full load on an endpoint that was down and is back, as long as the list does not
+/// say that it is cold.
+#[test]
+fn endpoints_that_were_unreachable_are_cold_when_they_answer() {
+    let mut dispatcher = dispatcher(&[record(1, "a")]);
+    dispatcher.update_entries(3);
+    for n in 0..2 {
+        let choice = dispatcher
+            .choose(NOW + ms(n), &request())
+            .expect("an endpoint");
+        dispatcher.finished(NOW + ms(n), choice.ticket, Outcome::Unreachable);
+    }
+    // Long after the last failure the endpoint answers for the first time.
+    let back = NOW + ms(9_000);
+    let choice = dispatcher.choose(back, &request()).expect("a trial");
+    let outcome = Outcome::Answered {
+        elapsed: ms(100),
+        load: None,
+    };
+    dispatcher.finished(back, choice.ticket, outcome);
+    let sent = (0..100).filter(|n| {
+        let now = back + ms(10 * n);
+        let choice = dispatcher.choose(now, &request());
+        choice.is_ok_and(|c| {
+            dispatcher.finished(now, c.ticket, Outcome::Cancelled);
+            true
+        })
+    });
+    // A third of 5 a second, and one at the start.
+    assert!(sent.count() <= 3, "too much for a cold endpoint");
+}
+
+/// Guards against a control replica that knows few entries, whose view would raise the rate of all
+/// entries at cold endpoints at once.
+#[test]
+fn the_number_of_entries_falls_slowly() {
+    let cold = EndpointRecord {
+        cold_for: ms(60_000),
+        ..record(1, "a")
+    };
+    let mut dispatcher = dispatcher(&[cold]);
+    dispatcher.update_entries(28);
+    dispatcher.update_entries(1);
+    let sent = (0..1_000).filter(|n| {
+        let now = NOW + ms(10 * n);
+        let choice = dispatcher.choose(now, &request());
+        choice.is_ok_and(|c| {
+            dispatcher.finished(now, c.ticket, Outcome::Cancelled);
+            true
+        })
+    });
+    // 10 s at a 27th of 5 a second, and one at the start.
+    assert!(sent.count() <= 3, "more than this entry's part");
+}
