Keep cold endpoints within their rate on large deployments

(2) The pace followed the number of live entries that a replica knows; entries that are cut off are not among them but send all the same. Change: an endpoint counts as cold for 1.1 to 2.3 s longer, drawn by each entry; the highest number of entries counts for 60 s; the entries that know of a cold endpoint use 0.6 of its rate.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -25,8 +25,8 @@
     by_instance: BTreeMap<String, EndpointKey>,
     services: BTreeMap<String, Service>,
     next_key: u32,
-    /// Entries of the own region, this one included.
-    region_entries: u32,
+    /// Entries of the own region, this one included, and when they were counted.
+    region_entries: (u32, Duration),
 }
 
 impl Dispatcher {
@@ -41,7 +41,7 @@
             by_instance: BTreeMap::new(),
             services: BTreeMap::new(),
             next_key: 0,
-            region_entries: 1,
+            region_entries: (1, Duration::ZERO),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -29,6 +29,10 @@
 /// idle between two requests.
 const MIN_WAIT_PART: f64 = 0.3;
 
+/// Part of the rate that a cold endpoint tolerates which the entries that know of it use. Entries that
+/// are cut off may not know that it is cold.
+const COLD_PART: f64 = 0.6;
+
 /// Cost of a full endpoint that is not yet queueing, relative to an idle one.
 const BUSY_COST: f64 = 0.15;
 
@@ -199,7 +203,7 @@
             .services
             .get(service)
             .map_or(0.0, |s| s.cold_rate);
-        interval(rate, self.region_entries)
+        interval(rate * COLD_PART, self.region_entries.0)
     }
 
     /// The endpoint with the lowest cost, of a region or of all.
--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -26,7 +26,10 @@
     pub(crate) state: EndpointState,
     /// Whether another endpoint has the address.
     pub(crate) misdirected: bool,
-    pub(crate) cold_until: Duration,
+    /// When the endpoint is warm by what is known; `None` if it was never cold.
+    cold_until: Option<Duration>,
+    /// How much longer this entry treats it as cold.
+    warm_margin: Duration,
     pub(crate) cold: ColdAllowance,
     pub(crate) load: LoadEstimate,
     pub(crate) warm: WarmKeys,
@@ -39,8 +42,12 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(record: &mangospindle_fleet::EndpointRecord, now: Duration) -> Self {
-        Endpoint {
+    pub(crate) fn new(
+        record: &mangospindle_fleet::EndpointRecord,
+        now: Duration,
+        warm_margin: Duration,
+    ) -> Self {
+        let mut endpoint = Endpoint {
             instance: record.instance.clone(),
             service: record.service.clone(),
             address: record.address,
@@ -48,7 +55,8 @@
             slots: record.slots.max(1),
             state: record.state,
             misdirected: false,
-            cold_until: now + record.cold_for,
+            cold_until: None,
+            warm_margin,
             cold: ColdAllowance::default(),
             load: LoadEstimate::default(),
             warm: WarmKeys::default(),
@@ -56,7 +64,11 @@
             failed_in_row: 0,
             ejected_until: Duration::ZERO,
             unreachable: false,
+        };
+        if !record.cold_for.is_zero() {
+            endpoint.cool(now, record.cold_for);
         }
+        endpoint
     }
 
     /// Whether the endpoint may get requests at all.
@@ -72,7 +84,7 @@
     }
 
     pub(crate) fn is_cold(&self, now: Duration) -> bool {
-        now < self.cold_until
+        (self.cold_until).is_some_and(|until| now < until + self.warm_margin)
     }
 
     /// Whether the endpoint has failed and not answered since. It then gets one request at a time.
@@ -108,7 +120,7 @@
 
     /// Records that the endpoint must be treated as cold for at least `time`.
     pub(crate) fn cool(&mut self, now: Duration, time: Duration) {
-        self.cold_until = self.cold_until.max(now + time);
+        self.cold_until = self.cold_until.max(Some(now + time));
         self.warm.clear();
     }
 }
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -4,6 +4,7 @@
 use crate::EndpointKey;
 use mangospindle_fleet::EndpointRecord;
 use mangospindle_model::RouteTable;
+use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,8 +13,14 @@
 /// start: they may have started at its end, and the list that says so arrives later.
 const EVACUATION_MARGIN: Duration = Duration::from_secs(2);
 
-/// Largest part by which the number of entries falls in one update, as a fraction of one.
-const ENTRIES_FALL: u32 = 16;
+/// How much longer an endpoint counts as cold: at least the first, and up to the second more, drawn
+/// by each entry. The rate that it tolerates holds for each second that begins while it is cold, and
+/// an idle endpoint that all entries find warm at the same moment gets a request from each of them.
+const WARM_MARGIN: (Duration, Duration) =
+    (Duration::from_millis(1100), Duration::from_millis(1200));
+
+/// How long the highest number of live entries counts. Longer than most cuts.
+const ENTRIES_MEMORY: Duration = Duration::from_secs(60);
 
 /// Cold start of an endpoint whose service is not known.
 pub(super) const DEFAULT_COLD_START: Duration = Duration::from_secs(3);
@@ -50,7 +57,9 @@
                 }
                 let key = EndpointKey(self.next_key);
                 self.next_key += 1;
-                self.endpoints.insert(key, Endpoint::new(record, now));
+                let margin = WARM_MARGIN.0 + WARM_MARGIN.1.mul_f64(self.rng.random_range(0.0..1.0));
+                self.endpoints
+                    .insert(key, Endpoint::new(record, now, margin));
                 self.by_instance.insert(record.instance.clone(), key);
             }
         }
@@ -76,12 +85,14 @@
         self.group_by_service();
     }
 
-    /// Takes the number of live entries in the own region. It falls slowly: a control replica that
-    /// was cut off or has just started knows too few, and all entries that hear it would then send
-    /// too much to cold endpoints.
-    pub fn update_entries(&mut self, region_entries: u32) {
-        let least = self.region_entries - self.region_entries / ENTRIES_FALL;
-        self.region_entries = region_entries.max(least).max(1);
+    /// Takes the number of live entries in the own region. A lower number counts only after
+    /// [`ENTRIES_MEMORY`]: entries that are cut off from the control replicas are not among the live
+    /// ones but still send requests, and a replica that was cut off itself knows too few.
+    pub fn update_entries(&mut self, now: Duration, region_entries: u32) {
+        let (known, at) = self.region_entries;
+        if region_entries >= known || now.saturating_sub(at) >= ENTRIES_MEMORY {
+            self.region_entries = (region_entries.max(1), now);
+        }
     }
 
     fn group_by_service(&mut self) {
@@ -89,7 +100,7 @@
         for (key, endpoint) in &self.endpoints {
             groups.entry(&endpoint.service).or_default().push(*key);
         }
-        let entries = self.region_entries * self.settings.region_count() as u32;
+        let entries = self.region_entries.0 * self.settings.region_count() as u32;
         for service in self.services.values_mut() {
             service.endpoints.clear();
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -80,11 +80,15 @@
     let age = age + gateway.now().saturating_sub(asked_at);
     gateway.metrics.list_age_ms.set(age.as_millis() as i64);
     gateway.dispatch(|d, now| {
-        d.update_entries(reply.region_entries);
+        d.update_entries(now, reply.region_entries);
         if let Some(endpoints) = &endpoints {
             d.update_endpoints(now, endpoints);
         }
     });
+    for e in endpoints.iter().flatten().filter(|e| !e.cold_for.is_zero()) {
+        event!(Debug, "endpoint_cold", "endpoint" => e.instance,
+            "cold_ms" => e.cold_for.as_millis());
+    }
     if let Some(list) = endpoints {
         *known_list = reply.list_digest;
         event!(Info, "endpoints_applied", "endpoints" => list.len(),
