--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -46,11 +46,7 @@
     }
     let found = routes.find(inbound.host_name(), inbound.path());
     let Some((key, route)) = found else {
-        gateway
-            .metrics
-            .answers
-            .with_label_values(&["unknown_route"])
-            .inc();
+        gateway.metrics.count_answer("404");
         event!(Info, "route_unknown", "request" => signals.id.unwrap_or_default(),
             "host" => inbound.host, "path" => inbound.path(), "routes" => routes.number);
         return Reply::error(ErrorKind::NotFound, "no route", None);
@@ -61,13 +57,9 @@
     let service = route.targets[target].service.as_str();
     let reply = serve(&gateway, &inbound, &signals, route, service, arrived).await;
     let took = gateway.now().saturating_sub(arrived);
-    let metrics = &gateway.metrics;
-    metrics.latency.observe(took.as_secs_f64());
     let status = reply.status.as_u16();
-    metrics
-        .answers
-        .with_label_values(&[&status.to_string()])
-        .inc();
+    gateway.metrics.latency.observe(took.as_secs_f64());
+    gateway.metrics.count_answer(&status.to_string());
     let id = signals.id.as_deref().unwrap_or_default();
     if reply.status.is_server_error() {
         event!(Info, "request_failed", "request" => id, "status" => status,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,7 +7,7 @@
 
 /// Metrics of a gateway.
 pub(crate) struct Metrics {
-    pub(crate) answers: IntCounterVec,
+    answers: IntCounterVec,
     pub(crate) refusals: IntCounterVec,
     pub(crate) latency: Histogram,
     pub(crate) connections_opened: IntCounter,
@@ -72,4 +72,9 @@
             )?,
         })
     }
+
+    /// Counts an answer to a caller.
+    pub(crate) fn count_answer(&self, status: &str) {
+        self.answers.with_label_values(&[status]).inc();
+    }
 }
