Read long lists of endpoints less often

Cause: the settings name the calls a second that the list accepts from all processes, but nothing used it: 194 pages (9,680 endpoints) every 0.7 s would be 277 calls a second of 47. Change: the interval grows with the pages of the last reading, so that a reader uses 0.45 of the rate. Test over list sizes. With today's one page, and with 10 pages, nothing changes.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -15,6 +15,12 @@
 /// Interval between two readings of the list by the reader.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Part of the platform's calls that one reader uses. Two replicas may read while leadership moves.
+const READER_PART: f64 = 0.45;
+
+/// Longest interval between two readings, at whatever size of the list.
+const MAX_READ_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Interval between checks whether a reading is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -25,21 +31,43 @@
 /// Interval between two exchanges with the other replicas.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(600);
 
+/// A reading of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// The endpoints.
+    pub endpoints: Vec<EndpointRecord>,
+    /// Calls that the reading took.
+    pub calls: u32,
+}
+
 /// The platform's list of endpoints.
 pub trait EndpointSource: 'static {
     /// Reads the whole list. The error is for people.
-    fn read(&self) -> LocalBoxFuture<'_, Result<Vec<EndpointRecord>, String>>;
+    fn read(&self) -> LocalBoxFuture<'_, Result<Reading, String>>;
+}
+
+/// Time from one reading to the next: long enough that a reader uses its part of the calls that the
+/// platform accepts from all processes together.
+pub fn reading_interval(calls: u32, max_rate: f64) -> Duration {
+    let own_rate = (max_rate * READER_PART).max(f64::MIN_POSITIVE);
+    let least = Duration::try_from_secs_f64(f64::from(calls) / own_rate);
+    READ_INTERVAL.max(least.unwrap_or(MAX_READ_INTERVAL).min(MAX_READ_INTERVAL))
 }
 
 /// Reads the list while this replica leads, or when no recent list arrives from another one, until
 /// the future is dropped.
-pub(crate) async fn read_endpoints<S>(source: S, published: Rc<Published>, clock: Arc<dyn Clock>)
-where
+pub(crate) async fn read_endpoints<S>(
+    source: S,
+    max_rate: f64,
+    published: Rc<Published>,
+    clock: Arc<dyn Clock>,
+) where
     S: EndpointSource,
 {
     let mut reachable = true;
     let mut led = false;
     let mut read_at = Duration::ZERO;
+    let mut interval = READ_INTERVAL;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let started = clock.now();
@@ -47,7 +75,7 @@
         let elected = leads && !std::mem::replace(&mut led, leads);
         let age = published.fleet().list_age(started);
         let stale = age.is_none_or(|age| age >= STALE_LIST);
-        let due = started >= read_at + READ_INTERVAL && (leads || stale);
+        let due = started >= read_at + interval && (leads || stale);
         if !elected && !due {
             continue;
         }
@@ -58,8 +86,9 @@
             event!(Info, "endpoint_list_reachable_changed", "reachable" => reachable);
         }
         match result {
-            Ok(endpoints) => {
-                let list = EndpointList::new(endpoints, started);
+            Ok(reading) => {
+                interval = reading_interval(reading.calls, max_rate);
+                let list = EndpointList::new(reading.endpoints, started);
                 published.set_endpoints(list);
             }
             Err(e) => event!(Warn, "endpoint_list_unreadable", "reason" => e),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -34,7 +34,7 @@
 mod wall_clock;
 
 pub use command::{command, run_command};
-pub use fleet_view::EndpointSource;
+pub use fleet_view::{EndpointSource, Reading, reading_interval};
 pub use operator_handle::OperatorHandle;
 pub use options::{FirstConfig, ReplicaOptions, Replicas};
 pub use run::run;
--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -126,13 +126,14 @@
         })
     }
 
-    /// Reads the platform's list of endpoints from now on.
-    pub fn read_endpoints<S>(&self, source: S, clock: Arc<dyn Clock>)
+    /// Reads the platform's list of endpoints from now on. The platform accepts `max_rate` calls a
+    /// second from all processes together.
+    pub fn read_endpoints<S>(&self, source: S, max_rate: f64, clock: Arc<dyn Clock>)
     where
         S: EndpointSource,
     {
         let published = Rc::clone(&self.published);
-        tokio::task::spawn_local(read_endpoints(source, published, clock));
+        tokio::task::spawn_local(read_endpoints(source, max_rate, published, clock));
     }
 
     /// What operators and callers may ask of the replica, from any thread.
--- /dev/null
+++ b/crates/control/tests/reading.rs
@@ -0,0 +1,55 @@
+//! Pace of the readings of the platform's list.
+
+use mangospindle_control::reading_interval;
+use std::time::Duration;
+
+/// Guards against more calls than the platform accepts when the list has many pages.
+#[test]
+fn long_lists_are_read_less_often() {
+    struct Case {
+        name: &'static str,
+        calls: u32,
+        max_rate: f64,
+    }
+    let cases = [
+        Case {
+            name: "48 endpoints",
+            calls: 1,
+            max_rate: 47.0,
+        },
+        Case {
+            name: "498 endpoints",
+            calls: 10,
+            max_rate: 47.0,
+        },
+        Case {
+            name: "9,680 endpoints",
+            calls: 194,
+            max_rate: 47.0,
+        },
+        Case {
+            name: "a slow platform",
+            calls: 2,
+            max_rate: 1.0,
+        },
+    ];
+    for case in cases {
+        let interval = reading_interval(case.calls, case.max_rate);
+        // Two replicas may read at a time.
+        let rate = 2.0 * f64::from(case.calls) / interval.as_secs_f64();
+        assert!(
+            rate <= case.max_rate,
+            "{}: {rate} calls a second",
+            case.name
+        );
+        assert!(
+            interval <= Duration::from_secs(30),
+            "{}: {interval:?}",
+            case.name
+        );
+    }
+    assert!(
+        reading_interval(5, 0.0) <= Duration::from_secs(30),
+        "no rate at all"
+    );
+}
