--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -86,7 +86,7 @@
     }
 
     /// Takes the number of live entries in the own region. A lower number counts only after
-    /// [`ENTRIES_MEMORY`]: entries that are cut off from the control replicas are not among the live
+    /// a minute: entries that are cut off from the control replicas are not among the live
     /// ones but still send requests, and a replica that was cut off itself knows too few.
     pub fn update_entries(&mut self, now: Duration, region_entries: u32) {
         let (known, at) = self.region_entries;
