Remove voters that are gone once a successor has joined

Cause: an open membership only ever grew. A replica that came back at a new address was added as a voter, its predecessor stayed. Each replacement made a majority one step harder to reach, and with three voters the successor was never added at all: a learner is only added if the voters without it reach the majority of the larger membership, and two of three do not.

Change: the leader notes when a newcomer becomes a voter, and removes a voter that has been silent for 2 s and was last heard before that. If the others do not reach the majority with the silent voter, it is removed first. Silent learners are removed as well. A member that was only cut off asks to be admitted again when it has heard no leader for two election timeouts.

Ruled out: replacing the voter that has been silent for longest when a newcomer arrives (one change of leader forgets nothing, but two newcomers at once could remove two voters before either was added, and a successor that starts within the election timeout left its predecessor behind for good); removing any voter after a long silence (a lost region would shrink the membership).

Before: the three new tests fail (voters 0 to 8 after the start with 6; 8 voters of 6 running; nothing accepted after a second loss of three).

A change of leader between the addition and the removal forgets the removal; the voter then stays until it is heard or the deployment is formed anew.

--- a/crates/consensus/src/leadership.rs
+++ b/crates/consensus/src/leadership.rs
@@ -23,6 +23,10 @@
     pub(crate) progress: BTreeMap<Member, Progress>,
     pub(crate) proposals: BTreeMap<u64, ProposalId>,
     pub(crate) transfer: Option<Transfer>,
+    /// When newcomers became voters whose predecessors, not heard since, were not removed yet.
+    pub(crate) successions: Vec<Duration>,
+    /// Whether a voter was removed for a newcomer that is still a learner.
+    pub(crate) room_made: bool,
     /// Position of the first entry of the term.
     pub(crate) first: u64,
     pub(crate) next_heartbeat: Duration,
@@ -36,6 +40,8 @@
             progress: BTreeMap::new(),
             proposals: BTreeMap::new(),
             transfer: None,
+            successions: Vec::new(),
+            room_made: false,
             first,
             next_heartbeat: now,
             round: 0,
--- a/crates/consensus/src/node/forming.rs
+++ b/crates/consensus/src/node/forming.rs
@@ -1,6 +1,7 @@
 //! Forming a new cluster, and `Hello`.
 //!
-//! A node whose storage was never part of a membership sends `Hello` to all configured replicas.
+//! A node whose storage is in no membership that it knows sends `Hello` to all replicas that it
+//! knows. So does a member of an open membership that has heard no leader for a while.
 //! Once the lowest-numbered one knows all of them, it proposes them as the initial voters, under a
 //! ballot above all it has seen, by accepting the proposal itself. Each of the others accepts the
 //! proposal durably if it has the configured replicas, names the own storage, and has a higher
@@ -15,7 +16,7 @@
 //! reports it: that voter never accepts the later one. If a disk is lost while the cluster forms,
 //! another proposal follows, unless the earlier one is complete.
 
-use super::{Greeting, Node};
+use super::{Greeting, Node, State};
 use crate::{
     Entry, Formation, Member, Membership, Message, MessageKind, Payload, ReplicaId, StorageId,
 };
@@ -26,6 +27,9 @@
 /// Term of the entry with the initial membership. The first leader's term is higher.
 const FORMATION_TERM: u64 = 1;
 
+/// Election timeouts without a leader after which a member asks to be admitted again.
+const REJOIN_ELECTIONS: u32 = 2;
+
 impl Node {
     /// Whether the storage has ever been part of a membership.
     pub fn is_formed(&self) -> bool {
@@ -34,20 +38,35 @@
     }
 
     pub(super) fn greet(&mut self, now: Duration) {
-        if now < self.next_hello || self.membership().contains(self.member()) {
+        let interval = match self.membership().contains(self.member()) {
+            true if self.may_be_removed(now) => self.settings.timing.election_max,
+            true => return,
+            false => self.settings.timing.heartbeat,
+        };
+        if now < self.next_hello {
             return;
         }
-        self.next_hello = now + self.settings.timing.heartbeat;
+        self.next_hello = now + interval;
         self.greet_all();
         if !self.is_formed() && self.settings.may_form {
             self.try_to_form();
         }
     }
 
+    /// Whether the leader may have removed this member of an open membership, which then learns
+    /// it from nobody: no leader sends to it.
+    fn may_be_removed(&self, now: Duration) -> bool {
+        let limit = self.settings.timing.election_max * REJOIN_ELECTIONS;
+        let leads = matches!(self.state, State::Leader(_));
+        self.settings.open && !leads && now.saturating_sub(self.leader_heard) >= limit
+    }
+
     fn greet_all(&mut self) {
         let own = self.member().replica;
         let configured = self.settings.replicas.iter().copied();
-        let targets: BTreeSet<ReplicaId> = configured.chain(self.contacts.clone()).collect();
+        let members = self.membership().members().map(|m| m.replica);
+        let contacts = self.contacts.iter().copied();
+        let targets: BTreeSet<ReplicaId> = configured.chain(contacts).chain(members).collect();
         for replica in targets.into_iter().filter(|r| *r != own) {
             self.send_hello(replica);
         }
--- a/crates/consensus/src/node/reconfigure.rs
+++ b/crates/consensus/src/node/reconfigure.rs
@@ -4,6 +4,36 @@
 use crate::{Member, Membership, Payload, Progress, ProposalError, ProposalId};
 use std::time::Duration;
 
+/// One step of a repair of the membership.
+#[derive(Clone, Copy, Debug)]
+enum Repair {
+    /// A learner becomes a voter.
+    Add(Member),
+    /// A voter is removed whose replica is back with another storage.
+    RemoveLost(Member),
+    /// A voter is removed that may be gone for good.
+    RemoveGone(Member),
+    /// A learner is removed that may be gone for good.
+    RemoveLearner(Member),
+}
+
+impl Repair {
+    fn apply(self, membership: &Membership) -> Membership {
+        let mut next = membership.clone();
+        match self {
+            Repair::Add(learner) => {
+                next.learners.retain(|l| *l != learner);
+                next.voters.push(learner);
+            }
+            Repair::RemoveLost(voter) | Repair::RemoveGone(voter) => {
+                next.voters.retain(|v| *v != voter);
+            }
+            Repair::RemoveLearner(learner) => next.learners.retain(|l| *l != learner),
+        }
+        next
+    }
+}
+
 impl Node {
     /// Appends a membership one voter away. The previous change must be committed, and so must an
     /// entry of the own term: otherwise a change of an earlier leader, unknown here, could be in
@@ -76,15 +106,44 @@
         let _ = self.propose_membership(now, next, None);
     }
 
+    /// Takes the next step towards a membership of the replicas that run, if there is one.
+    pub(super) fn repair_membership(&mut self, now: Duration) {
+        self.forget_successions();
+        let Some(repair) = self.next_repair(now) else {
+            return;
+        };
+        let next = repair.apply(self.membership());
+        // A refusal is not an error: the next tick tries again.
+        let proposed = self.propose_membership(now, next, None).is_ok();
+        let succession = self.succession(repair);
+        match (&mut self.state, repair) {
+            (State::Leader(leadership), Repair::Add(_)) if proposed => {
+                match std::mem::take(&mut leadership.room_made) {
+                    true => {}
+                    false => leadership.successions.push(now),
+                }
+            }
+            (State::Leader(leadership), Repair::RemoveGone(_)) if proposed => match succession {
+                Some(position) => drop(leadership.successions.remove(position)),
+                None => leadership.room_made = true,
+            },
+            _ => {}
+        }
+    }
+
     /// Replaces voters whose storage is lost by learners that have caught up: the old member is
     /// removed first, so that the new one never makes a majority harder to reach. A learner is
     /// added only if the other voters reach the majority without it, because it may be lost at the
-    /// same moment.
-    pub(super) fn repair_membership(&mut self, now: Duration) {
+    /// same moment. Voters that are gone for good would add up until a majority is out of reach:
+    /// one of them is removed for each newcomer.
+    fn next_repair(&self, now: Duration) -> Option<Repair> {
         let membership = self.membership();
+        let voters = &membership.voters;
         let replaced = |learner: &Member| {
-            let mut voters = membership.voters.iter();
-            voters.find(|v| v.replica == learner.replica).copied()
+            voters
+                .iter()
+                .find(|v| v.replica == learner.replica)
+                .copied()
         };
         let answering: Vec<_> = membership
             .learners
@@ -92,44 +151,87 @@
             .copied()
             .filter(|l| self.answers(now, *l))
             .collect();
-        let ready = |learner: &Member| self.has_caught_up(*learner);
-        let voters = &membership.voters;
+        let ready = |learner: &&Member| self.has_caught_up(**learner);
         let majority_after = voters.len().div_ceil(2) + 1;
         let majority_answers =
             voters.iter().filter(|v| self.answers(now, **v)).count() >= majority_after;
-        let mut next = membership.clone();
-        let mut unreplaced = answering.iter().filter(|l| replaced(l).is_none());
-        match unreplaced.clone().find(|l| ready(l)) {
-            Some(learner) if majority_answers => {
-                next.learners.retain(|l| l != learner);
-                next.voters.push(*learner);
-            }
+        let newcomers = || answering.iter().filter(|l| replaced(l).is_none());
+        let newcomer = newcomers().find(ready).copied();
+        let mut replaceable = answering.iter().filter(ready).filter_map(replaced);
+        let lost = replaceable.find(|v| !self.answers(now, *v));
+        let gone = self.longest_silent(now, voters).map(Repair::RemoveGone);
+        let silent_learner = self.longest_silent(now, &membership.learners);
+        match newcomer {
+            Some(newcomer) if majority_answers => Some(Repair::Add(newcomer)),
             // Another voter is removed only after this one has been added.
-            _ if majority_answers && unreplaced.next().is_some() => return,
-            _ => {
-                let mut voters = answering.iter().filter(|l| ready(l)).filter_map(replaced);
-                let Some(lost) = voters.find(|v| !self.answers(now, *v)) else {
-                    return;
-                };
-                next.voters.retain(|v| *v != lost);
+            _ if majority_answers && newcomers().next().is_some() => None,
+            _ if lost.is_some() => lost.map(Repair::RemoveLost),
+            // Without the voter that is gone, the others may reach the majority.
+            Some(_) if gone.is_some() && !self.room_made() => gone,
+            _ => gone
+                .filter(|gone| self.succession(*gone).is_some())
+                .or(silent_learner.map(Repair::RemoveLearner)),
+        }
+    }
+
+    /// Drops the successions whose predecessors have answered since.
+    fn forget_successions(&mut self) {
+        let voters = &self.log.membership().1.voters;
+        if let State::Leader(leadership) = &mut self.state {
+            let progress = &leadership.progress;
+            let heard = voters
+                .iter()
+                .filter_map(|v| Some(progress.get(v)?.heard_at()));
+            let oldest = heard.min();
+            leadership
+                .successions
+                .retain(|at| oldest.is_some_and(|o| o <= *at));
+        }
+    }
+
+    /// Position of the succession that a voter that is gone may have had: it was last heard before
+    /// the newcomer was added.
+    fn succession(&self, repair: Repair) -> Option<usize> {
+        match (&self.state, repair) {
+            (State::Leader(leadership), Repair::RemoveGone(gone)) => {
+                let heard_at = self.heard_at(gone)?;
+                leadership.successions.iter().position(|at| heard_at <= *at)
             }
+            _ => None,
         }
-        // A refusal is not an error: the next tick tries again.
-        let _ = self.propose_membership(now, next, None);
     }
 
-    fn answers(&self, now: Duration, member: Member) -> bool {
-        let timeout = self.settings.timing.election_max;
+    fn room_made(&self) -> bool {
+        matches!(&self.state, State::Leader(leadership) if leadership.room_made)
+    }
+
+    /// The member of an open membership that has not answered for longest, if that is so long that
+    /// it may be gone.
+    fn longest_silent(&self, now: Duration, members: &[Member]) -> Option<Member> {
+        let limit = self.settings.timing.replace_after;
+        let heard = members
+            .iter()
+            .filter_map(|m| Some((self.heard_at(*m)?, *m)));
+        heard
+            .filter(|(at, _)| self.settings.open && now.saturating_sub(*at) >= limit)
+            .min()
+            .map(|(_, member)| member)
+    }
+
+    /// When the leader last heard another member.
+    fn heard_at(&self, member: Member) -> Option<Duration> {
         match &self.state {
-            _ if member == self.member() => true,
-            State::Leader(leadership) => leadership
-                .progress
-                .get(&member)
-                .is_some_and(|p| now.saturating_sub(p.heard_at()) <= timeout),
-            _ => false,
+            State::Leader(leadership) => leadership.progress.get(&member).map(|p| p.heard_at()),
+            _ => None,
         }
     }
 
+    fn answers(&self, now: Duration, member: Member) -> bool {
+        let timeout = self.settings.timing.election_max;
+        let heard_at = self.heard_at(member);
+        member == self.member() || heard_at.is_some_and(|at| now.saturating_sub(at) <= timeout)
+    }
+
     /// Whether a member has everything committed, its own admission included.
     fn has_caught_up(&self, member: Member) -> bool {
         match &self.state {
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -31,6 +31,10 @@
     /// do not split the votes. A replica that returns while one leads is kept from disturbing it by
     /// the pre-vote.
     pub first_election_step: Duration,
+    /// How long a member of an open membership must be silent before it can be taken for gone, so
+    /// that a successor takes its place within the time that it has to catch up. A member that was
+    /// only late joins anew.
+    pub replace_after: Duration,
     /// How long the leader waits for the answer to a snapshot before it sends the snapshot again.
     pub snapshot_retry: Duration,
     /// Bytes of entries sent to a follower and not yet acknowledged. At least one entry is always
@@ -54,6 +58,7 @@
             election_max: Duration::from_millis(1000),
             // A pre-vote and a vote between regions take two round trips of 40 ms.
             first_election_step: Duration::from_millis(90),
+            replace_after: Duration::from_secs(2),
             snapshot_retry: Duration::from_secs(5),
             max_in_flight_bytes: 4 << 20,
             max_in_flight_appends: 32,
--- a/crates/consensus/tests/cluster/main.rs
+++ b/crates/consensus/tests/cluster/main.rs
@@ -4,6 +4,7 @@
 mod disturbances;
 mod fuzz;
 mod losses;
+mod open;
 mod operations;
 mod oracle;
 mod schedule;
--- a/crates/consensus/tests/cluster/operations.rs
+++ b/crates/consensus/tests/cluster/operations.rs
@@ -106,7 +106,7 @@
                 self.cuts.extend(pairs);
             }
             Op::Split(mask) => {
-                let side = |replica: usize| mask >> replica & 1;
+                let side = |replica: usize| mask.checked_shr(replica as u32).unwrap_or(0) & 1;
                 let all = 0..self.count;
                 let pairs = all.clone().flat_map(|a| all.clone().map(move |b| (a, b)));
                 self.cuts
@@ -205,7 +205,6 @@
 
     pub fn start(&mut self, number: usize) {
         let seed = self.random.random();
-        let count = self.count;
         let replica = &mut self.replicas[number];
         replica.starts += 1;
         // The clock of a process starts anywhere.
@@ -215,7 +214,7 @@
         if let Some(snapshot) = &recovered.snapshot {
             self.oracle.check_snapshot(snapshot);
         }
-        let settings = settings(replica.member, count, self.hasty);
+        let settings = settings(replica.member, &self.group, self.hasty);
         let local = local_time(replica, self.now);
         let node = Node::new(settings, recovered, seed, local);
         replica.node = Some(node.expect("a disk without damage"));
--- a/crates/consensus/tests/cluster/simulation.rs
+++ b/crates/consensus/tests/cluster/simulation.rs
@@ -33,12 +33,21 @@
     pub outputs_left: Option<u8>,
 }
 
+/// What a replica that starts now is told about the others.
+#[derive(Clone)]
+pub struct Group {
+    pub seeds: Vec<usize>,
+    pub open: bool,
+    pub may_form: bool,
+}
+
 pub struct Simulation {
     pub now: Duration,
     pub steps: u64,
     pub oracle: Oracle,
     pub count: usize,
     pub hasty: bool,
+    pub group: Group,
     pub replicas: Vec<Replica>,
     pub lost: BTreeMap<Member, Disk>,
     pub lost_while_forming: usize,
@@ -52,14 +61,18 @@
     pub sent_bytes: Vec<usize>,
 }
 
-pub fn settings(member: Member, count: usize, hasty: bool) -> NodeSettings {
+/// Silence after which a member of an open membership can be taken for gone.
+pub const REPLACE_AFTER: Duration = Duration::from_secs(2);
+
+pub fn settings(member: Member, group: &Group, hasty: bool) -> NodeSettings {
     let (shortest, longest) = if hasty { (140, 160) } else { (500, 1000) };
     NodeSettings {
         member,
-        replicas: (0..count as u32).map(ReplicaId).collect(),
-        open: false,
-        may_form: true,
+        replicas: group.seeds.iter().map(|r| ReplicaId(*r as u32)).collect(),
+        open: group.open,
+        may_form: group.may_form,
         timing: Timing {
+            replace_after: REPLACE_AFTER,
             max_in_flight_bytes: WINDOW_BYTES,
             max_in_flight_appends: 8,
             max_append_bytes: if hasty { 60 } else { 200 },
@@ -75,12 +88,22 @@
 
 impl Simulation {
     pub fn new(count: usize, seed: u64, hasty: bool) -> Self {
+        let group = Group {
+            seeds: (0..count).collect(),
+            open: false,
+            may_form: true,
+        };
+        Self::with_group(count, group, seed, hasty)
+    }
+
+    pub fn with_group(count: usize, group: Group, seed: u64, hasty: bool) -> Self {
         let mut simulation = Self {
             now: Duration::from_secs(10),
             steps: 0,
             oracle: Oracle::default(),
             count,
             hasty,
+            group,
             replicas: Vec::new(),
             lost: BTreeMap::new(),
             lost_while_forming: 0,
@@ -90,26 +113,31 @@
             loss: 0.0,
             random: StdRng::seed_from_u64(seed),
             sequence: 0,
-            sent_bytes: vec![0; count],
+            sent_bytes: Vec::new(),
         };
-        for number in 0..count {
-            let replica = Replica {
-                node: None,
-                member: simulation.new_member(number),
-                disk: Disk::default(),
-                starts: 0,
-                rate: simulation.random.random_range(0.995..=1.005),
-                origin: Duration::ZERO,
-                frozen_until: Duration::ZERO,
-                outputs_left: None,
-            };
-            simulation.replicas.push(replica);
-            simulation.start(number);
-            simulation.schedule(TICK, Event::Tick(number));
-        }
+        (0..count).for_each(|_| simulation.add_replica());
         simulation
     }
 
+    /// Starts a replica with the next number and an empty disk.
+    pub fn add_replica(&mut self) {
+        let number = self.replicas.len();
+        let replica = Replica {
+            node: None,
+            member: self.new_member(number),
+            disk: Disk::default(),
+            starts: 0,
+            rate: self.random.random_range(0.995..=1.005),
+            origin: Duration::ZERO,
+            frozen_until: Duration::ZERO,
+            outputs_left: None,
+        };
+        self.replicas.push(replica);
+        self.sent_bytes.push(0);
+        self.start(number);
+        self.schedule(TICK, Event::Tick(number));
+    }
+
     pub fn node(&self, replica: usize) -> Option<&Node> {
         self.replicas[replica].node.as_ref()
     }
