Pace each cold start of an endpoint from its own beginning

The moment of the next request to a cold endpoint was only forgotten when a request was sent to it while it was warm.

Change: an endpoint that becomes cold again forgets the earlier pace.

Ruled out: entries that missed the end of the evacuation (all applied it within 0.2 s); the margin at the end of the cold start (the excess is at its beginning).

--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -120,6 +120,9 @@
 
     /// Records that the endpoint must be treated as cold for at least `time`.
     pub(crate) fn cool(&mut self, now: Duration, time: Duration) {
+        if !self.is_cold(now) {
+            self.cold.reset();
+        }
         self.cold_until = self.cold_until.max(Some(now + time));
         self.warm.clear();
     }
