Tell on the metrics address what an entry decided

Ruled out: metrics by endpoint (500 endpoints on 85 entries).

Queue length and wait are not there: nothing waits in an entry.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -60,4 +60,15 @@
         let usable = |e: &&Endpoint| e.is_usable(now, &self.evacuated);
         self.endpoints.values().filter(usable).count()
     }
+
+    /// Second sends that each service can still pay for.
+    pub fn retry_budgets(&self) -> impl Iterator<Item = (&str, f64)> {
+        let services = self.services.iter();
+        services.map(|(name, service)| (name.as_str(), service.budget.left()))
+    }
+
+    /// Entries that are assumed to share the rates of the own region.
+    pub fn region_entries(&self) -> u32 {
+        self.region_entries.0
+    }
 }
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -302,7 +302,8 @@
     ) -> Option<Choice> {
         let cold_interval = self.cold_interval(request.service);
         let e = self.endpoints.get_mut(&candidate.key)?;
-        match e.is_cold(now) {
+        let cold = e.is_cold(now);
+        match cold {
             true => e.cold.sent(now, cold_interval),
             false => e.cold.reset(),
         }
@@ -318,6 +319,7 @@
             instance: e.instance.clone(),
             expected: Duration::from_secs_f64(candidate.time),
             remote: self.settings.region_of(&e.failure_domain) != self.settings.region(),
+            cold,
         })
     }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -38,4 +38,6 @@
     pub expected: Duration,
     /// Whether the endpoint is in another region.
     pub remote: bool,
+    /// Whether the endpoint is cold.
+    pub cold: bool,
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -58,8 +58,8 @@
     let reply = serve(&gateway, &inbound, &signals, route, service, arrived).await;
     let took = gateway.now().saturating_sub(arrived);
     let status = reply.status.as_u16();
-    gateway.metrics.latency.observe(took.as_secs_f64());
-    gateway.metrics.count_answer(&status.to_string());
+    let metrics = &gateway.metrics;
+    metrics.answered(route.priority, &status.to_string(), took);
     let id = signals.id.as_deref().unwrap_or_default();
     if reply.status.is_server_error() {
         event!(Info, "request_failed", "request" => id, "status" => status,
@@ -106,8 +106,10 @@
         event!(Debug, "request_sent", "request" => job.id, "endpoint" => choice.instance,
             "service" => service, "expected_ms" => choice.expected.as_millis(),
             "remote" => choice.remote, "sends" => progress.sends);
+        (gateway.metrics).count_send(service, &choice, progress.sends > 0);
         let sent_at = gateway.now();
         let sent = attempt(gateway, &job, &choice).await;
+        gateway.metrics.count_result(service, sent.as_str());
         event!(Debug, "request_ended", "request" => job.id, "endpoint" => choice.instance,
             "result" => sent.as_str(), "object" => signals.affinity.as_deref().unwrap_or_default(),
             "took_ms" => gateway.now().saturating_sub(sent_at).as_millis());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -141,8 +141,7 @@
         let now = self.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
         let result = f(&mut dispatcher, now);
-        let usable = dispatcher.usable(now);
-        self.metrics.endpoints.set(usable as i64);
+        self.metrics.observe(&dispatcher, now);
         drop(dispatcher);
         self.update_readiness();
         result
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,4 +1,10 @@
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use mangospindle_dispatch::{Choice, Dispatcher};
+use mangospindle_telemetry::log_lines_dropped;
+use prometheus::core::Collector;
+use prometheus::{
+    GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+use std::time::Duration;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -9,65 +15,112 @@
 pub(crate) struct Metrics {
     answers: IntCounterVec,
     pub(crate) refusals: IntCounterVec,
-    pub(crate) latency: Histogram,
+    latency: HistogramVec,
+    sends: IntCounterVec,
+    send_results: IntCounterVec,
+    cold_sends: IntCounterVec,
+    retry_budget: GaugeVec,
+    region_entries: IntGauge,
+    in_progress: IntGauge,
+    log_lines_dropped: IntGauge,
     pub(crate) connections_opened: IntCounter,
     pub(crate) callers: IntGauge,
     pub(crate) routes_number: IntGauge,
-    pub(crate) endpoints: IntGauge,
+    endpoints: IntGauge,
     pub(crate) list_age_ms: IntGauge,
 }
 
+/// Creates and registers metrics of a gateway.
+struct Registrar<'a>(&'a Registry);
+
+impl Registrar<'_> {
+    fn add<M>(&self, metric: prometheus::Result<M>) -> prometheus::Result<M>
+    where
+        M: Collector + Clone + 'static,
+    {
+        let metric = metric?;
+        self.0.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+
+    fn opts(name: &str, help: &str) -> Opts {
+        Opts::new(format!("mangospindle_gateway_{name}"), help)
+    }
+
+    fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> prometheus::Result<IntCounterVec> {
+        self.add(IntCounterVec::new(Self::opts(name, help), labels))
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+        self.add(IntGauge::with_opts(Self::opts(name, help)))
+    }
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     pub(crate) fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let counters = |name: &str, help: &str, label: &str| {
-            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok::<_, prometheus::Error>(counters)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
+        let r = Registrar(registry);
         let latency = HistogramOpts::new(
             "mangospindle_gateway_latency_seconds",
-            "Time from a whole request to its answer.",
+            "Time from a whole request to its answer, by the rank of its route.",
+        );
+        let latency = latency.buckets(LATENCY_BUCKETS.to_vec());
+        let budget = Registrar::opts(
+            "retry_budget",
+            "Second sends that each service can still pay for.",
         );
-        let latency = Histogram::with_opts(latency.buckets(LATENCY_BUCKETS.to_vec()))?;
-        registry.register(Box::new(latency.clone()))?;
-        let connections_opened = IntCounter::new(
-            "mangospindle_gateway_connections_opened_total",
-            "Connections opened to endpoints.",
-        )?;
-        registry.register(Box::new(connections_opened.clone()))?;
         Ok(Metrics {
-            answers: counters(
-                "mangospindle_gateway_answers_total",
+            answers: r.counters(
+                "answers_total",
                 "Answers to callers by status.",
-                "status",
+                &["status"],
             )?,
-            refusals: counters(
-                "mangospindle_gateway_refusals_total",
+            refusals: r.counters(
+                "refusals_total",
                 "Requests that were sent to no endpoint, by reason.",
-                "reason",
+                &["reason"],
             )?,
-            latency,
-            connections_opened,
-            callers: gauge(
-                "mangospindle_gateway_callers",
-                "Open connections of callers.",
+            latency: r.add(HistogramVec::new(latency, &["priority"]))?,
+            sends: r.counters(
+                "sends_total",
+                "Requests sent to endpoints of the own region (local) or of another (remote), \
+                 for the first time or again.",
+                &["service", "region", "send"],
             )?,
-            routes_number: gauge(
-                "mangospindle_gateway_routes_number",
-                "Number of the table of routes in force.",
+            send_results: r.counters(
+                "send_results_total",
+                "How requests ended at endpoints.",
+                &["service", "result"],
             )?,
-            endpoints: gauge(
-                "mangospindle_gateway_endpoints",
-                "Endpoints that may get requests.",
+            cold_sends: r.counters(
+                "cold_sends_total",
+                "Requests sent to cold endpoints.",
+                &["service"],
             )?,
-            list_age_ms: gauge(
-                "mangospindle_gateway_endpoint_list_age_ms",
+            retry_budget: r.add(GaugeVec::new(budget, &["service"]))?,
+            region_entries: r.gauge(
+                "region_entries",
+                "Entries that are assumed to share the rates of this region.",
+            )?,
+            in_progress: r.gauge("in_progress", "Requests in progress at endpoints.")?,
+            log_lines_dropped: r.gauge(
+                "log_lines_dropped",
+                "Log lines beyond the limit since the start.",
+            )?,
+            connections_opened: r.add(IntCounter::with_opts(Registrar::opts(
+                "connections_opened_total",
+                "Connections opened to endpoints.",
+            )))?,
+            callers: r.gauge("callers", "Open connections of callers.")?,
+            routes_number: r.gauge("routes_number", "Number of the table of routes in force.")?,
+            endpoints: r.gauge("endpoints", "Endpoints that may get requests.")?,
+            list_age_ms: r.gauge(
+                "endpoint_list_age_ms",
                 "Age of the list of endpoints, in milliseconds.",
             )?,
         })
@@ -77,4 +130,38 @@
     pub(crate) fn count_answer(&self, status: &str) {
         self.answers.with_label_values(&[status]).inc();
     }
+
+    /// Counts the answer to a request with a route of the given rank.
+    pub(crate) fn answered(&self, priority: u32, status: &str, took: Duration) {
+        let latency = self.latency.with_label_values(&[&priority.to_string()]);
+        latency.observe(took.as_secs_f64());
+        self.count_answer(status);
+    }
+
+    /// Counts a request that is sent to an endpoint.
+    pub(crate) fn count_send(&self, service: &str, choice: &Choice, repeated: bool) {
+        let region = if choice.remote { "remote" } else { "local" };
+        let send = if repeated { "again" } else { "first" };
+        self.sends.with_label_values(&[service, region, send]).inc();
+        if choice.cold {
+            self.cold_sends.with_label_values(&[service]).inc();
+        }
+    }
+
+    /// Counts how a request ended at an endpoint.
+    pub(crate) fn count_result(&self, service: &str, result: &str) {
+        let results = self.send_results.with_label_values(&[service, result]);
+        results.inc();
+    }
+
+    /// Takes over what the dispatcher believes.
+    pub(crate) fn observe(&self, dispatcher: &Dispatcher, now: Duration) {
+        self.endpoints.set(dispatcher.usable(now) as i64);
+        self.in_progress.set(dispatcher.in_progress().into());
+        self.region_entries.set(dispatcher.region_entries().into());
+        self.log_lines_dropped.set(log_lines_dropped() as i64);
+        for (service, left) in dispatcher.retry_budgets() {
+            self.retry_budget.with_label_values(&[service]).set(left);
+        }
+    }
 }
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -150,8 +150,9 @@
             answer.is_ok_and(|a| a.status().is_success())
         });
         ready.await.map_err(|e| {
-            let log = self.processes.get(&Node::Entry(entry.0)).map(Process::log);
-            miette!("{e}\n{}", log.unwrap_or_default())
+            let process = self.processes.get(&Node::Entry(entry.0));
+            let (state, log) = process.map(|p| (p.state(), p.log())).unwrap_or_default();
+            miette!("{e}\n{state}\n{log}")
         })
     }
 
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -54,6 +54,27 @@
         self.child.try_wait().into_diagnostic()
     }
 
+    /// What the kernel says of the process and of each of its threads: whether it is stopped, runs
+    /// or waits, and in which system call.
+    pub fn state(&self) -> String {
+        let process = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let status = std::fs::read_to_string(process.join("status")).unwrap_or_default();
+        let wanted = ["State:", "VmRSS:", "SigPnd:", "ShdPnd:"];
+        let lines = status
+            .lines()
+            .filter(|line| wanted.iter().any(|w| line.starts_with(w)));
+        let mut state: Vec<String> = lines.map(String::from).collect();
+        let threads = std::fs::read_dir(process.join("task"))
+            .into_iter()
+            .flatten();
+        for thread in threads.flatten().map(|thread| thread.path()) {
+            let read = |name| std::fs::read_to_string(thread.join(name)).unwrap_or_default();
+            let parts = ["comm", "stat", "wchan", "syscall"].map(read);
+            state.push(parts.map(|part| part.trim().to_string()).join(" | "));
+        }
+        state.join("\n")
+    }
+
     /// Everything the process has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -23,6 +23,11 @@
         RetryBudget { tokens: max, max }
     }
 
+    /// Tokens that are left.
+    pub fn left(&self) -> f64 {
+        self.tokens
+    }
+
     /// Adds the share of one first attempt.
     pub fn deposit(&mut self, fraction: f64) {
         self.tokens = (self.tokens + fraction.max(0.0)).min(self.max);
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,7 +8,7 @@
 mod metrics_text;
 
 pub use line_writer::LineWriter;
-pub use logging::{init_logging, json_line};
+pub use logging::{init_logging, json_line, log_lines_dropped};
 pub use metrics_text::metrics_text;
 
 /// Logs an event with a stable name and fields.
--- a/crates/telemetry/src/line_writer.rs
+++ b/crates/telemetry/src/line_writer.rs
@@ -17,7 +17,22 @@
 #[derive(Clone)]
 pub struct LineWriter {
     lines: SyncSender<String>,
-    dropped: Arc<AtomicU64>,
+    dropped: Arc<Dropped>,
+}
+
+/// Lines that were not written.
+#[derive(Debug, Default)]
+struct Dropped {
+    total: AtomicU64,
+    /// Those that no line has told yet.
+    untold: AtomicU64,
+}
+
+impl Dropped {
+    fn count(&self) {
+        self.total.fetch_add(1, Ordering::Relaxed);
+        self.untold.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 impl LineWriter {
@@ -27,7 +42,7 @@
         W: Write + Send + 'static,
     {
         let (lines, receiver) = sync_channel(QUEUED_LINES);
-        let dropped = Arc::new(AtomicU64::new(0));
+        let dropped = Arc::new(Dropped::default());
         let counter = Arc::clone(&dropped);
         std::thread::Builder::new()
             .name("log".to_string())
@@ -40,13 +55,18 @@
         match self.lines.try_send(line) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                self.dropped.fetch_add(1, Ordering::Relaxed);
+                self.dropped.count();
             }
         }
     }
+
+    /// Lines that were dropped since the start.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.total.load(Ordering::Relaxed)
+    }
 }
 
-fn write_lines<W>(lines: &Receiver<String>, mut out: W, dropped: &AtomicU64)
+fn write_lines<W>(lines: &Receiver<String>, mut out: W, dropped: &Dropped)
 where
     W: Write,
 {
@@ -56,7 +76,7 @@
         if second.elapsed() >= Duration::from_secs(1) {
             second = Instant::now();
             written = 0;
-            let count = dropped.swap(0, Ordering::Relaxed);
+            let count = dropped.untold.swap(0, Ordering::Relaxed);
             if count > 0 {
                 let _ = writeln!(
                     out,
@@ -66,7 +86,7 @@
         }
         written += 1;
         if written > LINES_PER_SECOND {
-            dropped.fetch_add(1, Ordering::Relaxed);
+            dropped.count();
             continue;
         }
         // Without a reader there is nobody to tell.
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -2,13 +2,24 @@
 use log::LevelFilter;
 use miette::{IntoDiagnostic, Result};
 use serde_json::{Map, Value, json};
+use std::sync::OnceLock;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// The writer of this process, once logging has started.
+static WRITER: OnceLock<LineWriter> = OnceLock::new();
+
+/// Log lines that were dropped since the start of the process.
+pub fn log_lines_dropped() -> u64 {
+    WRITER.get().map_or(0, LineWriter::dropped)
+}
+
 /// Starts logging to standard output, one JSON object per line.
 pub fn init_logging(process: &str, level: &str) -> Result<()> {
     let process = process.to_string();
     let level: LevelFilter = level.parse().into_diagnostic()?;
     let writer = LineWriter::start(std::io::stdout()).into_diagnostic()?;
+    // A second start fails in `apply`.
+    let _ = WRITER.set(writer.clone());
     let output = fern::Output::call(move |record| writer.write(record.args().to_string()));
     fern::Dispatch::new()
         .level(level)
