Let callers ask again soon while the directory may lack entries

Change: an answer may be kept for at most 0.5 s while the replica's view is younger than the time after which entries count as gone, or names no entry of the caller's region.

Before: callers_ask_again_soon_while_the_view_may_lack_entries fails (no lifetime in the view's answer). After: it passes.

--- a/crates/control/src/operator_handle.rs
+++ b/crates/control/src/operator_handle.rs
@@ -1,12 +1,12 @@
 use crate::admin::AdminBackend;
 use crate::backend::ReplicaBackend;
-use mangospindle_fleet::{Caller, Fleet};
+use mangospindle_fleet::{Caller, Directions, Fleet};
 use mangospindle_http::Problem;
 use mangospindle_model::{Clock, ErrorKind, RouteTable};
 use mangospindle_state::{Actor, Command, CommandKind, Outcome, RequestId};
 use mangospindle_telemetry::event;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 /// What operators and callers may ask of a control replica. Can be used on any thread.
 #[derive(Clone)]
@@ -57,9 +57,9 @@
     }
 
     /// Entries that a caller should connect to.
-    pub fn entries_for(&self, caller: &Caller) -> Vec<SocketAddr> {
+    pub fn directions(&self, caller: &Caller, longest: Duration) -> Directions {
         let fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
-        fleet.entries_for(self.clock.now(), caller)
+        fleet.directions(self.clock.now(), caller, longest)
     }
 
     /// The metrics of the replica as text.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -19,6 +19,11 @@
 /// Most addresses in one answer to a caller.
 const MAX_ADDRESSES: usize = 64;
 
+/// Longest time for which a caller keeps an answer while this view may lack entries nearer to it.
+/// Short, because the callers of a whole deployment would otherwise stay with the few entries that
+/// are up first after a restart.
+const UNSETTLED_LIFETIME: Duration = Duration::from_millis(500);
+
 /// Where a caller is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Caller {
@@ -28,6 +33,15 @@
     pub failure_domain: String,
 }
 
+/// Where a caller should connect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Directions {
+    /// Public addresses of entries.
+    pub addresses: Vec<SocketAddr>,
+    /// How long they may be kept.
+    pub lifetime: Duration,
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     entry: EntryAnnouncement,
@@ -40,12 +54,15 @@
     /// By name of the VM.
     entries: BTreeMap<String, Known>,
     list: Option<EndpointList>,
+    /// When the first entry was heard.
+    first_heard: Option<Duration>,
 }
 
 impl Fleet {
     /// Notes an announcement that is `age` old. Older news than those known change nothing.
     pub fn hear(&mut self, now: Duration, entry: EntryAnnouncement, age: Duration) {
         let heard_at = now.saturating_sub(age);
+        self.first_heard.get_or_insert(now);
         let known = self.entries.get(&entry.name);
         if known.is_none_or(|k| k.heard_at < heard_at) {
             // An address belongs to the process that announced it last.
@@ -131,8 +148,23 @@
 
     /// Entries that a caller should connect to: those of its failure domain if there are enough,
     /// else those of its region, else all. An entry that was not heard lately, or that accepts no
-    /// callers, is named only if there is no other.
-    pub fn entries_for(&self, now: Duration, caller: &Caller) -> Vec<SocketAddr> {
+    /// callers, is named only if there is no other. The answer is kept for `longest`, or for less
+    /// if it may soon be a better one.
+    pub fn directions(&self, now: Duration, caller: &Caller, longest: Duration) -> Directions {
+        let (addresses, near) = self.entries_for(now, caller);
+        let young = self.first_heard.is_none_or(|at| now < at + ENTRY_LIFETIME);
+        let lifetime = match near && !young {
+            true => longest,
+            false => longest.min(UNSETTLED_LIFETIME),
+        };
+        Directions {
+            addresses,
+            lifetime,
+        }
+    }
+
+    /// The entries for a caller, and whether they are in its region.
+    fn entries_for(&self, now: Duration, caller: &Caller) -> (Vec<SocketAddr>, bool) {
         let alive: Vec<&EntryAnnouncement> = (self.entries.values())
             .filter(|k| now.saturating_sub(k.heard_at) < ENTRY_LIFETIME)
             .map(|k| &k.entry)
@@ -149,12 +181,12 @@
         };
         let in_domain = near(&|e| e.failure_domain == caller.failure_domain);
         if in_domain.len() >= ENOUGH_ENTRIES {
-            return in_domain;
+            return (in_domain, true);
         }
         let in_region = near(&|e| e.region == caller.region);
         match in_region.is_empty() {
-            false => in_region,
-            true => near(&|_| true),
+            false => (in_region, true),
+            true => (near(&|_| true), false),
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,4 +21,4 @@
 pub use endpoint_record::{EndpointRecord, EndpointState};
 pub use entry_announcement::EntryAnnouncement;
 pub use exchange::{ExchangeError, ExchangeReply, ExchangeRequest, HeardEntry};
-pub use fleet::{Caller, Fleet};
+pub use fleet::{Caller, Directions, Fleet};
--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -158,10 +158,59 @@
             region: "north".to_string(),
             failure_domain: "a".to_string(),
         };
-        let addresses = fleet.entries_for(now, &caller);
+        let addresses = fleet.directions(now, &caller, ms(2_000)).addresses;
         let expected: Vec<_> = (case.expected.iter())
             .map(|n| format!("10.0.1.{n}:80").parse().unwrap())
             .collect();
         assert_eq!(addresses, expected, "{}", case.name);
     }
 }
+
+/// Guards against callers that stay with the few entries that are up first after a restart, or with
+/// entries far away once those of their region are back.
+#[test]
+fn callers_ask_again_soon_while_the_view_may_lack_entries() {
+    struct Case {
+        name: &'static str,
+        region: &'static str,
+        /// Age of the view.
+        age: Duration,
+        lifetime: Duration,
+    }
+    const LONGEST: Duration = ms(2_000);
+    const SOON: Duration = ms(500);
+    let cases = [
+        Case {
+            name: "entries of the region, long after the start",
+            region: "north",
+            age: ms(10_000),
+            lifetime: LONGEST,
+        },
+        Case {
+            name: "the first entries after the start",
+            region: "north",
+            age: ms(200),
+            lifetime: SOON,
+        },
+        Case {
+            name: "only entries of another region",
+            region: "south",
+            age: ms(10_000),
+            lifetime: SOON,
+        },
+    ];
+    let caller = Caller {
+        region: "north".to_string(),
+        failure_domain: "a".to_string(),
+    };
+    for case in cases {
+        let start = ms(100_000);
+        let mut fleet = Fleet::default();
+        fleet.hear(start, entry("e1", "b", case.region, true), ms(0));
+        let now = start + case.age;
+        fleet.hear(now, entry("e1", "b", case.region, true), ms(0));
+        let directions = fleet.directions(now, &caller, LONGEST);
+        assert_eq!(directions.lifetime, case.lifetime, "{}", case.name);
+        assert_eq!(directions.addresses.len(), 1, "{}", case.name);
+    }
+}
