Look up the successor of a voter before the voter is removed

Cause: found by reading. The leader asked whether a removed voter had a successor after it had proposed the removal; what it knows of a voter is dropped with the proposal, so the answer was always no. The removal then counted as room for the next newcomer, whose own predecessor stayed a voter until the replacement after it.

Change: the question comes first. A change of the membership is logged at each replica when it is agreed (members_changed), so that such a fault can be seen.

Ruled out: nothing else was tried.

Before: the test allowed one voter more than replicas and passed; with none allowed it fails (7 voters of 6).

--- a/crates/consensus/src/node/reconfigure.rs
+++ b/crates/consensus/src/node/reconfigure.rs
@@ -84,8 +84,8 @@
 
     /// A replica reports a storage that is in no membership. It becomes a learner if it stands for
     /// a voter or learner of the same replica that no longer answers, or if the membership is open
-    /// and names no storage of this replica. An old `Hello` that arrives
-    /// late therefore changes nothing while the member answers.
+    /// and names no storage of this replica. An old `Hello` that arrives late therefore changes
+    /// nothing while the member answers.
     pub(super) fn admit(&mut self, now: Duration, newcomer: Member) {
         let membership = self.membership();
         let former: Vec<_> = membership
@@ -113,9 +113,10 @@
             return;
         };
         let next = repair.apply(self.membership());
+        // Looked up first: nothing is known about a voter once it is removed.
+        let succession = self.succession(repair);
         // A refusal is not an error: the next tick tries again.
         let proposed = self.propose_membership(now, next, None).is_ok();
-        let succession = self.succession(repair);
         match (&mut self.state, repair) {
             (State::Leader(leadership), Repair::Add(_)) if proposed => {
                 match std::mem::take(&mut leadership.room_made) {
--- a/crates/consensus/tests/cluster/open.rs
+++ b/crates/consensus/tests/cluster/open.rs
@@ -12,7 +12,7 @@
 const RUNS: u64 = 24;
 /// Time for a restarted or new replica to become a voter, as a deployment is promised it.
 const CATCH_UP: Duration = Duration::from_secs(4);
-/// A voter whose successor came before it had been silent for long stays until the next one comes.
+/// Voters that a change of leader may have left behind in a drawn run.
 const LEFT_BEHIND: usize = 1;
 
 struct Deployment {
@@ -59,13 +59,13 @@
         voters.map(|v| v.replica.0 as usize).collect()
     }
 
-    /// Every running replica is a voter, few others are, and commands are accepted.
-    fn check(&mut self, what: &str) {
+    /// Every running replica is a voter, at most `left_behind` others are, and commands are accepted.
+    fn check(&mut self, what: &str, left_behind: usize) {
         assert!(self.simulation.accepts(), "{what}: nothing is accepted");
         let voters = self.voters();
         let missing = self.running.iter().find(|r| !voters.contains(r));
         assert_eq!(missing, None, "{what}: voters {voters:?}");
-        let most = self.size + LEFT_BEHIND;
+        let most = self.size + left_behind;
         assert!(voters.len() <= most, "{what}: voters {voters:?}");
     }
 }
@@ -111,7 +111,7 @@
 fn replicas_are_replaced_one_after_the_other_without_end() {
     for case in CASES {
         let mut deployment = Deployment::start(case.size, 11);
-        deployment.check("the start");
+        deployment.check("the start", 0);
         for _ in 0..12 {
             let oldest = deployment.running[0];
             deployment.replace(oldest, case.pause);
@@ -120,7 +120,7 @@
             assert!(deployment.simulation.accepts(), "{}", case.name);
             deployment.simulation.perform(Op::Restart(lost));
             deployment.simulation.run(CATCH_UP);
-            deployment.check(case.name);
+            deployment.check(case.name, 0);
         }
     }
 }
@@ -141,7 +141,7 @@
     );
     deployment.simulation.perform(Op::Heal);
     deployment.simulation.run(CATCH_UP);
-    deployment.check("after the cut");
+    deployment.check("after the cut", 0);
 }
 
 /// Guards against a second cluster, lost commands and a cluster that stops, while replicas are
@@ -164,7 +164,7 @@
         }
         // A voter that was taken for gone, and a learner that waits for it.
         simulation.run(REPLACE_AFTER + CATCH_UP * 2);
-        deployment.check(&format!("seed {seed}"));
+        deployment.check(&format!("seed {seed}"), LEFT_BEHIND);
     }
 }
 
--- a/crates/control/src/replica/apply.rs
+++ b/crates/control/src/replica/apply.rs
@@ -4,7 +4,7 @@
 use crate::disk::DiskJob;
 use crate::limits::{AUDIT_PAGE, SNAPSHOT_ENTRIES, SNAPSHOT_LOG_BYTES, SNAPSHOT_SHARE};
 use actix::Context;
-use mangospindle_consensus::{Entry, Input, Payload, Snapshot};
+use mangospindle_consensus::{Entry, Input, Member, Membership, Payload, Snapshot};
 use mangospindle_model::ErrorKind;
 use mangospindle_state::{Command, Outcome, State};
 use mangospindle_telemetry::event;
@@ -14,8 +14,13 @@
     pub(super) fn apply(&mut self, entry: Entry) -> Option<Outcome> {
         self.applied = (entry.index, entry.term);
         self.since_snapshot.0 += 1;
-        let Payload::Command(bytes) = entry.payload else {
-            return None;
+        let bytes = match entry.payload {
+            Payload::Command(bytes) => bytes,
+            Payload::Membership(membership) => {
+                log_members(entry.index, &membership);
+                return None;
+            }
+            Payload::Noop => return None,
         };
         self.since_snapshot.1 += bytes.len() as u64;
         // A command that cannot be decoded is refused on every replica alike.
@@ -87,3 +92,17 @@
         }
     }
 }
+
+fn log_members(index: u64, membership: &Membership) {
+    let numbers = |members: &[Member]| {
+        let numbers = members.iter().map(|m| m.replica.0.to_string());
+        numbers.collect::<Vec<_>>().join(" ")
+    };
+    event!(
+        Info,
+        "members_changed",
+        "index" => index,
+        "voters" => numbers(&membership.voters),
+        "learners" => numbers(&membership.learners),
+    );
+}
