--- a/crates/settings/src/open_control_settings.rs
+++ b/crates/settings/src/open_control_settings.rs
@@ -35,6 +35,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Port range for traffic between processes; RPC uses the first.
     pub internal_ports: (u16, u16),
+    /// RPC listener, if it is not the first internal port of `address`: behind a forwarder that
+    /// other processes reach there.
+    #[serde(default)]
+    pub rpc_listen: Option<SocketAddr>,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
     /// Directory for the state that must survive.
