--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::connect::connect;
 use crate::gateway::Gateway;
 use crate::inbound_request::InboundRequest;
+use crate::requests_in_progress::RequestKey;
 use crate::response::{Response, ResponseBody, StreamedBody};
 use crate::send_guard::SendGuard;
 use actix_web::http::Method;
@@ -60,6 +61,8 @@
     pub(crate) idempotent: bool,
     /// When the response has to be complete, on the local clock.
     pub(crate) deadline: Duration,
+    /// Key of the request in [`Gateway::in_progress`].
+    pub(crate) progress: RequestKey,
 }
 
 /// Sends a request to the chosen endpoint and reads its response.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,6 +3,7 @@
 use crate::forward::forward;
 use crate::gateway::{Gateway, Phase};
 use crate::inbound_request::{Decoded, InboundRequest, RequestReader};
+use crate::requests_in_progress::RequestKey;
 use crate::response::Response;
 use crate::writer::{write_all, write_response};
 use bytes::BytesMut;
@@ -35,19 +36,24 @@
 /// Maximum time to wait for the caller to close its side after the last response.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Counts a request as in progress until the guard is dropped.
-struct InProgressGuard(Rc<Gateway>);
+/// Lists a request as in progress until the guard is dropped.
+struct InProgressGuard {
+    gateway: Rc<Gateway>,
+    key: RequestKey,
+}
 
 impl InProgressGuard {
-    fn new(gateway: &Rc<Gateway>) -> Self {
-        gateway.in_progress.set(gateway.in_progress.get() + 1);
-        InProgressGuard(Rc::clone(gateway))
+    fn new(gateway: &Rc<Gateway>, arrived_at: Duration) -> Self {
+        InProgressGuard {
+            gateway: Rc::clone(gateway),
+            key: gateway.in_progress.insert(arrived_at),
+        }
     }
 }
 
 impl Drop for InProgressGuard {
     fn drop(&mut self) {
-        self.0.in_progress.set(self.0.in_progress.get() - 1);
+        self.gateway.in_progress.remove(self.key);
     }
 }
 
@@ -171,10 +177,11 @@
             return;
         }
         let gateway = Rc::clone(&self.gateway);
-        let guard = InProgressGuard::new(&gateway);
         let arrived_at = gateway.now();
+        let guard = InProgressGuard::new(&gateway, arrived_at);
+        let key = guard.key;
         self.responses.push_back(Box::pin(async move {
-            let response = forward(gateway, inbound, arrived_at).await;
+            let response = forward(gateway, inbound, arrived_at, key).await;
             (response, Some(guard))
         }));
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 use crate::gateway::Gateway;
 use crate::inbound_request::InboundRequest;
 use crate::protocol::RequestMetadata;
+use crate::requests_in_progress::RequestKey;
 use crate::response::Response;
 use mangospindle_dispatch::{EndpointKey, Refusal, RefusalReason, Request};
 use mangospindle_model::{ErrorKind, Route};
@@ -44,6 +45,7 @@
     gateway: Rc<Gateway>,
     inbound: InboundRequest,
     arrived_at: Duration,
+    progress: RequestKey,
 ) -> Response {
     let metadata = gateway.protocol.request_metadata(&inbound.headers);
     let routes = gateway.routes();
@@ -62,7 +64,13 @@
         return Response::error(ErrorKind::NoEndpoint, "the route has no target", None);
     };
     let service = route.targets[target].service.as_str();
-    let response = serve(&gateway, &inbound, &metadata, route, service, arrived_at).await;
+    let context = attempt_context(&inbound, &metadata, route, arrived_at, progress);
+    gateway.in_progress.update(progress, |p| {
+        p.id = context.id.to_string();
+        p.route = route.name.clone();
+        p.deadline = context.deadline;
+    });
+    let response = serve(&gateway, &context, &metadata, route, service).await;
     let elapsed = gateway.now().saturating_sub(arrived_at);
     let status = response.status.as_u16();
     let metrics = &gateway.metrics;
@@ -76,23 +84,33 @@
     response
 }
 
-/// Sends a request to endpoints of `service` until one responds or no further attempt is allowed.
-async fn serve(
-    gateway: &Rc<Gateway>,
-    inbound: &InboundRequest,
-    metadata: &RequestMetadata,
+/// The data that all attempts of a request share.
+fn attempt_context<'a>(
+    inbound: &'a InboundRequest,
+    metadata: &'a RequestMetadata,
     route: &Route,
-    service: &str,
     arrived_at: Duration,
-) -> Response {
+    progress: RequestKey,
+) -> AttemptContext<'a> {
     let time_limit = [metadata.deadline, route.timeout].into_iter().flatten();
     let time_limit = time_limit.min().unwrap_or(DEFAULT_TIMEOUT);
-    let context = AttemptContext {
+    AttemptContext {
         inbound,
         id: metadata.id.as_deref().unwrap_or_default(),
         idempotent: route.idempotent,
         deadline: (arrived_at + time_limit).saturating_sub(RESPONSE_MARGIN),
-    };
+        progress,
+    }
+}
+
+/// Sends a request to endpoints of `service` until one responds or no further attempt is allowed.
+async fn serve(
+    gateway: &Rc<Gateway>,
+    context: &AttemptContext<'_>,
+    metadata: &RequestMetadata,
+    route: &Route,
+    service: &str,
+) -> Response {
     let affinity_hash = metadata
         .affinity_key
         .as_ref()
@@ -112,14 +130,20 @@
         };
         let choice = match gateway.choose_endpoint(&request) {
             Ok(choice) => choice,
-            Err(refusal) => return refusal_response(gateway, &context, history, refusal),
+            Err(refusal) => return refusal_response(gateway, context, history, refusal),
         };
         event!(Debug, "request_sent", "request" => context.id, "endpoint" => choice.instance,
             "service" => service, "expected_ms" => choice.expected_latency.as_millis(),
             "remote" => choice.remote, "sends" => history.sends);
         (gateway.metrics).count_send(service, &choice, history.sends > 0);
         let sent_at = gateway.now();
-        let result = attempt(gateway, &context, &choice).await;
+        gateway.in_progress.update(context.progress, |p| {
+            p.sends = history.sends;
+            p.endpoint.clone_from(&choice.instance);
+            p.sent_at = sent_at;
+            p.expected_latency = choice.expected_latency;
+        });
+        let result = attempt(gateway, context, &choice).await;
         gateway.metrics.count_result(service, result.as_str());
         event!(Debug, "request_ended", "request" => context.id, "endpoint" => choice.instance,
             "result" => result.as_str(),
@@ -137,13 +161,13 @@
                 history.last_error = Some(response);
             }
             AttemptResult::Rejected if history.sends + 1 >= route.attempts => {
-                return exhausted_response(&context, history, gateway);
+                return exhausted_response(context, history, gateway);
             }
             AttemptResult::Rejected => {}
             AttemptResult::Unreachable => {
                 history.unreachable += 1;
                 if history.unreachable > MAX_UNREACHABLE_ENDPOINTS {
-                    return exhausted_response(&context, history, gateway);
+                    return exhausted_response(context, history, gateway);
                 }
                 continue;
             }
@@ -152,7 +176,7 @@
                 event!(Info, "endpoint_failed", "request" => context.id,
                     "endpoint" => choice.instance, "error" => e);
                 if !may_retry {
-                    return exhausted_response(&context, history, gateway);
+                    return exhausted_response(context, history, gateway);
                 }
             }
             AttemptResult::TimedOut => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 use crate::connection::serve_connection;
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
+use crate::requests_in_progress::RequestsInProgress;
 use crate::settings::GatewaySettings;
 use crate::{control_sync, drain};
 use mangospindle_client::Pool;
@@ -13,7 +14,7 @@
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use prometheus::Registry;
 use rand::Rng;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -49,8 +50,7 @@
     pub(crate) pool: Arc<Pool<EndpointKey>>,
     pub(crate) metrics: Metrics,
     pub(crate) incarnation: u64,
-    /// Number of requests in progress.
-    pub(crate) in_progress: Cell<usize>,
+    pub(crate) in_progress: RequestsInProgress,
     pub(crate) phase: watch::Sender<Phase>,
     /// Wakes the task that announces this entry, ahead of its interval.
     pub(crate) announce_now: Notify,
@@ -95,7 +95,7 @@
             pool: Pool::new(Box::new(|_| {})),
             metrics: Metrics::new(&registry).into_diagnostic()?,
             incarnation: rand::random(),
-            in_progress: Cell::new(0),
+            in_progress: RequestsInProgress::default(),
             phase: watch::Sender::new(Phase::Serving),
             announce_now: Notify::new(),
             registry,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod inbound_request;
 mod metrics;
 mod protocol;
+mod requests_in_progress;
 mod response;
 mod send_guard;
 mod settings;
