Accept only requests that can complete before a stop ends

Cause: a stopping entry accepted every request until 1.8 s before the kill and exited 0.25 s before it. Nothing compared the request's time limit with that.

Why this works: StopSchedule gives the time that a request has during a stop. A deadline before the exit needs no more than before. The rest is refused at once as not run, before an endpoint is chosen. Second sends follow the same rule. A fixed larger margin would only move the gap to routes with a longer timeout, and refuse short requests that fit.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,6 +31,7 @@
 mod send_ticket;
 mod service_time_estimate;
 mod settings;
+mod stop_schedule;
 mod weighted_round_robin;
 mod working_set;
 
@@ -43,4 +44,5 @@
 pub use request::{Choice, Request};
 pub use send_ticket::SendTicket;
 pub use settings::DispatchSettings;
+pub use stop_schedule::StopSchedule;
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/dispatch/src/refusal.rs
+++ b/crates/dispatch/src/refusal.rs
@@ -7,6 +7,8 @@
     NoEndpoint,
     /// No endpoint is expected to respond in time.
     TooLate,
+    /// The entry is stopping, and the request might not complete before it exits.
+    Stopping,
     /// The budget for retries and hedged requests is exhausted.
     NoRetryBudget,
 }
@@ -17,6 +19,7 @@
         match self {
             RefusalReason::NoEndpoint => "no_endpoint",
             RefusalReason::TooLate => "too_late",
+            RefusalReason::Stopping => "stopping",
             RefusalReason::NoRetryBudget => "no_retry_budget",
         }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -36,6 +36,8 @@
     Failed(ExchangeError),
     /// The deadline passed; the request may have run.
     TimedOut,
+    /// The process exits; the request may have run.
+    Interrupted,
 }
 
 impl AttemptResult {
@@ -48,6 +50,7 @@
             AttemptResult::Unreachable => "unreachable",
             AttemptResult::Failed(_) => "failed",
             AttemptResult::TimedOut => "timed_out",
+            AttemptResult::Interrupted => "interrupted",
         }
     }
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -29,10 +29,6 @@
 /// respect the timeout never race with the close.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.3;
 
-/// `Retry-After` while the entry is stopping. It is short because another entry can serve the
-/// request immediately.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(1);
-
 /// Maximum time to wait for the caller to close its side after the last response.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -168,12 +164,10 @@
     /// Starts serving a request, or refuses it if the entry is stopping.
     fn start(&mut self, inbound: InboundRequest) {
         self.closing = inbound.closes_connection;
-        if *self.gateway.phase.borrow() == Phase::Finishing {
-            let delay = Some(STOPPING_RETRY_AFTER);
-            let response = Response::error(ErrorKind::Draining, "the entry is stopping", delay);
+        if *self.gateway.phase.borrow() >= Phase::Finishing {
             self.closing = true;
             self.responses
-                .push_back(Box::pin(std::future::ready((response, None))));
+                .push_back(Box::pin(std::future::ready((Response::stopping(), None))));
             return;
         }
         let gateway = Rc::clone(&self.gateway);
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -1,16 +1,10 @@
 //! Graceful stop.
 
 use crate::gateway::{Gateway, Phase};
+use mangospindle_dispatch::StopSchedule;
 use mangospindle_telemetry::event;
 use std::time::Duration;
 
-/// Time before the kill at which the entry starts to refuse new requests. Most requests complete
-/// within it.
-const REFUSE_NEW_BEFORE_KILL: Duration = Duration::from_millis(1800);
-
-/// Time before the kill at which the process exits even if requests are in progress.
-const EXIT_BEFORE_KILL: Duration = Duration::from_millis(250);
-
 /// Polling interval for requests in progress.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -20,21 +14,23 @@
 /// Reports the entry as not ready and keeps serving while callers move to other entries, then
 /// refuses new requests and completes those in progress.
 pub(crate) async fn drain(gateway: &Gateway) {
-    let stop_grace_period = gateway.settings.stop_grace_period;
     let started_at = gateway.now();
+    let schedule = StopSchedule::new(started_at, gateway.settings.stop_grace_period);
     event!(Info, "drain_started", "in_progress" => gateway.in_progress.len());
+    gateway.stop_schedule.set(Some(schedule));
     gateway.phase.send_replace(Phase::NotReady);
     gateway.update_readiness();
-    tokio::time::sleep(stop_grace_period.saturating_sub(REFUSE_NEW_BEFORE_KILL)).await;
+    tokio::time::sleep(schedule.refuse_new_at().saturating_sub(gateway.now())).await;
     event!(Info, "drain_finishing", "in_progress" => gateway.in_progress.len());
     gateway.phase.send_replace(Phase::Finishing);
-    let exit_at = started_at + stop_grace_period.saturating_sub(EXIT_BEFORE_KILL);
-    while gateway.in_progress.len() > 0 && gateway.now() < exit_at {
+    while gateway.in_progress.len() > 0 && gateway.now() < schedule.exit_at() {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
+    let unfinished = gateway.in_progress.len();
     log_unfinished_requests(gateway, started_at);
+    gateway.phase.send_replace(Phase::Exiting);
     tokio::time::sleep(FLUSH_DELAY).await;
-    event!(Info, "drain_ended", "in_progress" => gateway.in_progress.len());
+    event!(Info, "drain_ended", "in_progress" => unfinished);
 }
 
 /// Logs each request that the exit cuts, with the data that led to its acceptance.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -122,13 +122,13 @@
             affinity: affinity_hash.filter(|_| route.sticky),
             idempotent: context.idempotent,
             priority: route.priority,
-            time_left: context.deadline.saturating_sub(gateway.now()),
+            time_left: gateway.time_left(context.deadline),
             target_latency: route.target_latency,
             home_regions: &route.home_regions,
             tried: &history.tried,
             repeated: history.sends > 0,
         };
-        let choice = match gateway.choose_endpoint(&request) {
+        let choice = match gateway.choose_endpoint(&request, context.deadline) {
             Ok(choice) => choice,
             Err(refusal) => return refusal_response(gateway, context, history, refusal),
         };
@@ -143,7 +143,10 @@
             p.sent_at = sent_at;
             p.expected_latency = choice.expected_latency;
         });
-        let result = attempt(gateway, context, &choice).await;
+        let result = tokio::select! {
+            result = attempt(gateway, context, &choice) => result,
+            () = gateway.exiting() => AttemptResult::Interrupted,
+        };
         gateway.metrics.count_result(service, result.as_str());
         event!(Debug, "request_ended", "request" => context.id, "endpoint" => choice.instance,
             "result" => result.as_str(),
@@ -179,6 +182,10 @@
                     return exhausted_response(context, history, gateway);
                 }
             }
+            AttemptResult::Interrupted => {
+                let detail = "the entry exits before the endpoint has responded";
+                return Response::error(ErrorKind::UpstreamFailed, detail, None);
+            }
             AttemptResult::TimedOut => {
                 event!(Info, "endpoint_late", "request" => context.id,
                     "endpoint" => choice.instance,
@@ -211,6 +218,7 @@
     }
     let kind = match (history.may_have_run, reason) {
         (true, _) => ErrorKind::UpstreamFailed,
+        (false, RefusalReason::Stopping) => return Response::stopping(),
         (false, RefusalReason::NoEndpoint) => ErrorKind::NoEndpoint,
         (false, RefusalReason::TooLate | RefusalReason::NoRetryBudget) => ErrorKind::NoCapacity,
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,8 @@
 use crate::{control_sync, drain};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
-    Choice, Dispatcher, EndpointKey, Outcome, Refusal, Request, SendTicket, WeightedRoundRobin,
+    Choice, Dispatcher, EndpointKey, Outcome, Refusal, RefusalReason, Request, SendTicket,
+    StopSchedule, WeightedRoundRobin,
 };
 use mangospindle_model::{Clock, Route, RouteKey, RouteTable};
 use mangospindle_rpc::{ControlClient, ControlClientSettings};
@@ -14,7 +15,7 @@
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use prometheus::Registry;
 use rand::Rng;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -40,6 +41,8 @@
     NotReady,
     /// Refuses new requests and completes those in progress.
     Finishing,
+    /// Responds with an error to the requests in progress; the process exits.
+    Exiting,
 }
 
 /// State shared by all connections of the process.
@@ -52,6 +55,8 @@
     pub(crate) incarnation: u64,
     pub(crate) in_progress: RequestsInProgress,
     pub(crate) phase: watch::Sender<Phase>,
+    /// Set when a graceful stop starts.
+    pub(crate) stop_schedule: Cell<Option<StopSchedule>>,
     /// Wakes the task that announces this entry, ahead of its interval.
     pub(crate) announce_now: Notify,
     registry: Registry,
@@ -97,6 +102,7 @@
             incarnation: rand::random(),
             in_progress: RequestsInProgress::default(),
             phase: watch::Sender::new(Phase::Serving),
+            stop_schedule: Cell::new(None),
             announce_now: Notify::new(),
             registry,
             ready: Arc::default(),
@@ -140,6 +146,22 @@
         self.clock.now()
     }
 
+    /// Time that a request with this deadline may take from now on; zero if a stop leaves none.
+    pub(crate) fn time_left(&self, deadline: Duration) -> Duration {
+        let now = self.now();
+        match self.stop_schedule.get() {
+            Some(schedule) => schedule.time_left(now, deadline),
+            None => deadline.saturating_sub(now),
+        }
+    }
+
+    /// Completes when the process is about to exit.
+    pub(crate) async fn exiting(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the gateway, so this does not fail.
+        let _ = phase.wait_for(|p| *p == Phase::Exiting).await;
+    }
+
     /// The current route table.
     pub(crate) fn routes(&self) -> Arc<RouteTable> {
         Arc::clone(self.dispatcher.borrow().routes())
@@ -159,13 +181,24 @@
         result
     }
 
-    /// Chooses the endpoint for a request.
+    /// Chooses the endpoint for a request with this deadline.
     pub(crate) fn choose_endpoint(
         &self,
         request: &Request<'_>,
+        deadline: Duration,
     ) -> std::result::Result<Choice, Refusal> {
         let now = self.now();
-        self.dispatcher.borrow_mut().choose(now, request)
+        let schedule = self.stop_schedule.get();
+        let limited_by_stop = schedule.is_some_and(|s| s.exit_at() < deadline);
+        match self.dispatcher.borrow_mut().choose(now, request) {
+            Err(refusal) if limited_by_stop && refusal.reason == RefusalReason::TooLate => {
+                Err(Refusal {
+                    reason: RefusalReason::Stopping,
+                    ..refusal
+                })
+            }
+            result => result,
+        }
     }
 
     /// Records the outcome of an attempt.
@@ -219,7 +252,7 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             // An error means that the sender was dropped, which happens when the process exits.
-            _ = phase.wait_for(|p| *p == Phase::Finishing) => return,
+            _ = phase.wait_for(|p| *p >= Phase::Finishing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -7,6 +7,10 @@
 use mangospindle_model::ErrorKind;
 use std::time::Duration;
 
+/// `Retry-After` while the entry is stopping. It is short because another entry can serve the
+/// request immediately.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(1);
+
 /// A response body that is forwarded while it is read.
 pub(crate) struct StreamedBody {
     /// Chunks that were read before forwarding started.
@@ -49,6 +53,12 @@
         }
     }
 
+    /// The refusal of a request that a stopping entry might not complete. The request did not run.
+    pub(crate) fn stopping() -> Self {
+        let delay = Some(STOPPING_RETRY_AFTER);
+        Response::error(ErrorKind::Draining, "the entry is stopping", delay)
+    }
+
     /// An error response of this entry.
     pub(crate) fn error(kind: ErrorKind, detail: &str, retry_after: Option<Duration>) -> Self {
         let row = kind.row();
