Enforce the deadline while a streamed body is written

What callers saw: the body of a response that an endpoint sends without end went on after the deadline, for as long as the caller read more slowly than the endpoint sent; a caller that did not read at all kept the connection to the endpoint open too.

Cause: the timeout covered only the read from the endpoint, and a timer is looked at only when a read is not ready. While the entry waits for the caller, the endpoint's bytes pile up, so the next read is ready at once.

The deadline now covers reads and writes together. The body stays without its end, as before, so the caller can tell that it was cut. The deadline is the time at which the response has to be complete, so no response loses time that it had.

--- a/crates/gateway/src/writer.rs
+++ b/crates/gateway/src/writer.rs
@@ -70,6 +70,20 @@
 /// Forwards a streamed body. After an error the body stays without its end, so that the caller can
 /// detect the truncation.
 async fn write_stream<W>(stream: &mut W, streamed: StreamedBody, now: Duration) -> io::Result<()>
+where
+    W: AsyncWrite + Unpin,
+{
+    let remaining = streamed.deadline.saturating_sub(now);
+    // The deadline also bounds the writes: while a caller reads more slowly than the endpoint sends,
+    // a read from the endpoint is always ready and does not time out.
+    match tokio::time::timeout(remaining, copy_body(stream, streamed)).await {
+        Ok(result) => result,
+        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
+/// Writes a body while it is read. If the future is dropped, the request counts as cancelled.
+async fn copy_body<W>(stream: &mut W, streamed: StreamedBody) -> io::Result<()>
 where
     W: AsyncWrite + Unpin,
 {
@@ -78,26 +92,19 @@
         mut exchange,
         length,
         mut guard,
-        deadline,
+        deadline: _,
     } = streamed;
     let chunked = length.is_none();
     for chunk in buffered {
         write_chunk(stream, &chunk, chunked).await?;
     }
-    let stream_deadline = tokio::time::Instant::now() + deadline.saturating_sub(now);
-    loop {
-        let next = poll_fn(|cx| exchange.poll_chunk(cx));
-        match tokio::time::timeout_at(stream_deadline, next).await {
-            Ok(Some(Ok(chunk))) => write_chunk(stream, &chunk, chunked).await?,
-            Ok(Some(Err(e))) => {
+    while let Some(next) = poll_fn(|cx| exchange.poll_chunk(cx)).await {
+        match next {
+            Ok(chunk) => write_chunk(stream, &chunk, chunked).await?,
+            Err(e) => {
                 guard.finish(Outcome::Failed);
                 return Err(io::Error::other(e));
             }
-            Ok(None) => break,
-            Err(_) => {
-                guard.finish(Outcome::Cancelled);
-                return Err(io::ErrorKind::TimedOut.into());
-            }
         }
     }
     guard.finish_success();
