Copy buffered response bytes out of their read buffers

Cause: the entry kept each chunk as a handle of its own, which costs more than the byte and keeps the whole read buffer alive. A chunk extension of 16 KiB or a trickle makes that worse.

The bytes are now copied into one buffer, as they were at the end of the body before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -195,27 +195,24 @@
     deadline: Duration,
     server_error: bool,
 ) -> Result<ResponseBody, ExchangeError> {
-    let mut chunks = Vec::new();
-    let mut size = 0;
+    // The bytes are copied: a chunk of one byte would keep its whole read buffer.
+    let mut buf = BytesMut::new();
     loop {
         match poll_fn(|cx| exchange.poll_chunk(cx)).await {
-            Some(Ok(chunk)) => {
-                size += chunk.len();
-                chunks.push(chunk);
-            }
+            Some(Ok(chunk)) => buf.extend_from_slice(&chunk),
             Some(Err(e)) => {
                 guard.finish(Outcome::Failed);
                 return Err(e);
             }
             None => break,
         }
-        if size > MAX_BUFFERED_BYTES {
+        if buf.len() > MAX_BUFFERED_BYTES {
             let length = match head.framing {
                 BodyFraming::Length(n) => Some(n),
                 BodyFraming::None | BodyFraming::Chunked | BodyFraming::CloseDelimited => None,
             };
             return Ok(ResponseBody::Streamed(Box::new(StreamedBody {
-                buffered: chunks,
+                buffered: buf.freeze(),
                 exchange,
                 length,
                 guard,
@@ -230,7 +227,5 @@
     if head.framing == BodyFraming::None {
         return Ok(ResponseBody::None(head.content_length));
     }
-    let mut buf = BytesMut::with_capacity(size);
-    chunks.iter().for_each(|c| buf.extend_from_slice(c));
     Ok(ResponseBody::Buffered(buf.freeze()))
 }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -9,8 +9,8 @@
 
 /// A response body that is forwarded while it is read.
 pub(crate) struct StreamedBody {
-    /// Chunks that were read before forwarding started.
-    pub(crate) buffered: Vec<Bytes>,
+    /// Bytes that were read before forwarding started.
+    pub(crate) buffered: Bytes,
     pub(crate) exchange: Exchange<EndpointKey>,
     /// Total length of the body in bytes, if the endpoint declared it.
     pub(crate) length: Option<u64>,
--- a/crates/gateway/src/writer.rs
+++ b/crates/gateway/src/writer.rs
@@ -95,9 +95,7 @@
         deadline: _,
     } = streamed;
     let chunked = length.is_none();
-    for chunk in buffered {
-        write_chunk(stream, &chunk, chunked).await?;
-    }
+    write_chunk(stream, &buffered, chunked).await?;
     while let Some(next) = poll_fn(|cx| exchange.poll_chunk(cx)).await {
         match next {
             Ok(chunk) => write_chunk(stream, &chunk, chunked).await?,
