Give other requests their turn while tiny chunks are read

What callers saw: while an endpoint sent chunks of one byte at full speed, requests of the entry ended up to 0.6 s after their deadline.

Cause: only reads from the socket count toward the budget of a task. One read of 32 KiB yields over 5000 chunks of one byte, and 128 reads are allowed, so a task could decode several 100000 chunks before timers and other requests had their turn. Each chunk now counts toward the budget.

The same lack of turns is suspected in the decoding of heads, trailers and stale bodies in mangospindle-client, which this change does not touch.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -198,6 +198,8 @@
     // The bytes are copied: a chunk of one byte would keep its whole read buffer.
     let mut buf = BytesMut::new();
     loop {
+        // Many tiny chunks can be decoded without a wait; other requests need their turn.
+        tokio::task::coop::consume_budget().await;
         match poll_fn(|cx| exchange.poll_chunk(cx)).await {
             Some(Ok(chunk)) => buf.extend_from_slice(&chunk),
             Some(Err(e)) => {
