Tell refusals because of a stop from those because of load

Callers of an overloaded service were told to return at once, and the reason in the log was wrong. The reduced time also scaled Retry-After of other refusals to zero.

The limit that the stop sets on the expected latency is now a field of its own. The deadline and the queue are checked first. A request that the stop does not allow at all takes nothing from the retry budget. A response that is complete when the process exits is preferred over the error for unfinished requests, and a server error that an endpoint returned before is kept.

The new table test covers both reasons at the dispatcher. The process test of stops passes after this change.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -74,6 +74,9 @@
         if !self.services.contains_key(request.service) {
             return Err(self.refusal(RefusalReason::NoEndpoint, request, 0.0));
         }
+        if request.stop_limit.is_some_and(|limit| limit.is_zero()) {
+            return Err(self.refusal(RefusalReason::Stopping, request, 0.0));
+        }
         if request.repeated && !self.withdraw_retry(request.service) {
             return Err(self.refusal(RefusalReason::NoRetryBudget, request, 0.0));
         }
@@ -85,6 +88,9 @@
         if excess > 0.0 {
             return Err(self.refusal(RefusalReason::TooLate, request, excess));
         }
+        if (request.stop_limit).is_some_and(|limit| best.latency_seconds > limit.as_secs_f64()) {
+            return Err(self.refusal(RefusalReason::Stopping, request, 0.0));
+        }
         if request.tried.is_empty()
             && let Some(service) = self.services.get_mut(request.service)
         {
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -16,6 +16,9 @@
     pub priority: u32,
     /// Time left until the caller's deadline.
     pub time_left: Duration,
+    /// Longest expected latency with which the request is sent during a graceful stop of this
+    /// entry; `None` if the entry is not stopping.
+    pub stop_limit: Option<Duration>,
     /// Latency within which a response is of full value to the caller; zero if there is no target.
     pub target_latency: Duration,
     /// Regions that may serve the request; empty for all.
--- a/crates/dispatch/src/stop_schedule.rs
+++ b/crates/dispatch/src/stop_schedule.rs
@@ -15,8 +15,7 @@
 /// longer than expected if the endpoint does not have their object in its working set.
 const LATENCY_MARGIN_FACTOR: u32 = 2;
 
-/// Schedule of a graceful stop: how much time a request has that is sent during it. Times are on
-/// the local clock.
+/// Schedule of a graceful stop: which requests may be sent during it. Times are on the local clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
     started_at: Duration,
@@ -43,18 +42,20 @@
         self.started_at + self.grace_period.saturating_sub(EXIT_BEFORE_KILL)
     }
 
-    /// Maximum expected latency of a request with this deadline that may be sent to an endpoint at
+    /// Longest expected latency with which a request with this deadline is sent to an endpoint at
     /// `now`; zero if it must not be sent.
     ///
-    /// A request whose deadline is before the exit gets its response in any case. Any other could
-    /// be lost. It is sent only while its caller may not know another entry, and only if it is
-    /// expected to complete well before the exit.
-    pub fn time_left(&self, now: Duration, deadline: Duration) -> Duration {
-        let redirected_at = self.started_at + self.grace_period.mul_f64(REDIRECT_FRACTION);
-        match deadline {
-            _ if deadline <= self.exit_at() => deadline.saturating_sub(now),
-            _ if now < redirected_at => self.exit_at().saturating_sub(now) / LATENCY_MARGIN_FACTOR,
-            _ => Duration::ZERO,
+    /// A request whose deadline is before the exit cannot be lost. Any other is sent only while its
+    /// caller may not know another entry, and only if it is expected to complete well before the
+    /// exit.
+    pub fn latency_limit(&self, now: Duration, deadline: Duration) -> Duration {
+        let redirect_ends_at = self.started_at + self.grace_period.mul_f64(REDIRECT_FRACTION);
+        if deadline <= self.exit_at() {
+            return deadline.saturating_sub(now);
+        }
+        match now < redirect_ends_at {
+            true => self.exit_at().saturating_sub(now) / LATENCY_MARGIN_FACTOR,
+            false => Duration::ZERO,
         }
     }
 }
--- a/crates/dispatch/tests/choices/stops.rs
+++ b/crates/dispatch/tests/choices/stops.rs
@@ -1,12 +1,9 @@
 //! Time that requests have during a graceful stop.
 
-use mangospindle_dispatch::StopSchedule;
+use crate::support::{NOW, dispatcher, ms, record, request};
+use mangospindle_dispatch::{RefusalReason, Request, StopSchedule};
 use std::time::Duration;
 
-const fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
 /// Guards against a stopping entry that accepts a request which it cannot complete before it exits,
 /// and against one that refuses a request which it can complete.
 #[test]
@@ -69,11 +66,11 @@
     for start in [ms(0), ms(77_000)] {
         let schedule = StopSchedule::new(start, ms(6000));
         for case in &cases {
-            let left = schedule.time_left(start + case.at, start + case.deadline);
+            let limit = schedule.latency_limit(start + case.at, start + case.deadline);
             assert_eq!(
-                left >= case.expected,
+                limit >= case.expected,
                 case.accepted,
-                "{}: {left:?}",
+                "{}: {limit:?}",
                 case.name
             );
         }
@@ -81,3 +78,58 @@
         assert!(schedule.exit_at() < start + ms(6000));
     }
 }
+
+/// Guards against refusals because of load that are reported as refusals because of the stop, whose
+/// callers are told to return at once.
+#[test]
+fn stop_and_load_are_told_apart() {
+    struct Case {
+        name: &'static str,
+        time_left: Duration,
+        stop_limit: Option<Duration>,
+        expected: Option<RefusalReason>,
+    }
+    // The initial estimate of the service time is 300 ms.
+    let cases = [
+        Case {
+            name: "not stopping",
+            time_left: ms(2000),
+            stop_limit: None,
+            expected: None,
+        },
+        Case {
+            name: "the stop leaves enough time",
+            time_left: ms(2000),
+            stop_limit: Some(ms(1000)),
+            expected: None,
+        },
+        Case {
+            name: "the stop leaves too little time",
+            time_left: ms(2000),
+            stop_limit: Some(ms(50)),
+            expected: Some(RefusalReason::Stopping),
+        },
+        Case {
+            name: "the stop leaves no time",
+            time_left: ms(2000),
+            stop_limit: Some(ms(0)),
+            expected: Some(RefusalReason::Stopping),
+        },
+        Case {
+            name: "the deadline leaves too little time as well",
+            time_left: ms(50),
+            stop_limit: Some(ms(50)),
+            expected: Some(RefusalReason::TooLate),
+        },
+    ];
+    for case in cases {
+        let mut dispatcher = dispatcher(&[record(1, "a")]);
+        let request = Request {
+            time_left: case.time_left,
+            stop_limit: case.stop_limit,
+            ..request()
+        };
+        let refusal = dispatcher.choose(NOW, &request).err();
+        assert_eq!(refusal.map(|r| r.reason), case.expected, "{}", case.name);
+    }
+}
--- a/crates/dispatch/tests/choices/support.rs
+++ b/crates/dispatch/tests/choices/support.rs
@@ -66,6 +66,7 @@
         idempotent: true,
         priority: 0,
         time_left: ms(2_000),
+        stop_limit: None,
         target_latency: ms(1_000),
         home_regions: &[],
         tried: &[],
--- a/crates/emulator/src/simulation/requests.rs
+++ b/crates/emulator/src/simulation/requests.rs
@@ -49,6 +49,7 @@
             idempotent: class.idempotent,
             priority: 0,
             time_left: r.deadline.saturating_sub(self.now),
+            stop_limit: None,
             target_latency: class.target_latency,
             home_regions: &[],
             tried: &[],
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -122,13 +122,14 @@
             affinity: affinity_hash.filter(|_| route.sticky),
             idempotent: context.idempotent,
             priority: route.priority,
-            time_left: gateway.time_left(context.deadline),
+            time_left: context.deadline.saturating_sub(gateway.now()),
+            stop_limit: gateway.stop_limit(context.deadline),
             target_latency: route.target_latency,
             home_regions: &route.home_regions,
             tried: &history.tried,
             repeated: history.sends > 0,
         };
-        let choice = match gateway.choose_endpoint(&request, context.deadline) {
+        let choice = match gateway.choose_endpoint(&request) {
             Ok(choice) => choice,
             Err(refusal) => return refusal_response(gateway, context, history, refusal),
         };
@@ -144,6 +145,7 @@
             p.expected_latency = choice.expected_latency;
         });
         let result = tokio::select! {
+            biased;
             result = attempt(gateway, context, &choice) => result,
             () = gateway.exiting() => AttemptResult::Interrupted,
         };
@@ -183,8 +185,8 @@
                 }
             }
             AttemptResult::Interrupted => {
-                let detail = "the entry exits before the endpoint has responded";
-                return Response::error(ErrorKind::UpstreamFailed, detail, None);
+                history.may_have_run = true;
+                return exhausted_response(context, history, gateway);
             }
             AttemptResult::TimedOut => {
                 event!(Info, "endpoint_late", "request" => context.id,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,8 +6,8 @@
 use crate::{control_sync, drain};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
-    Choice, Dispatcher, EndpointKey, Outcome, Refusal, RefusalReason, Request, SendTicket,
-    StopSchedule, WeightedRoundRobin,
+    Choice, Dispatcher, EndpointKey, Outcome, Refusal, Request, SendTicket, StopSchedule,
+    WeightedRoundRobin,
 };
 use mangospindle_model::{Clock, Route, RouteKey, RouteTable};
 use mangospindle_rpc::{ControlClient, ControlClientSettings};
@@ -146,13 +146,11 @@
         self.clock.now()
     }
 
-    /// Time that a request with this deadline may take from now on; zero if a stop leaves none.
-    pub(crate) fn time_left(&self, deadline: Duration) -> Duration {
-        let now = self.now();
-        match self.stop_schedule.get() {
-            Some(schedule) => schedule.time_left(now, deadline),
-            None => deadline.saturating_sub(now),
-        }
+    /// Longest expected latency that a stop allows for a request with this deadline; `None` if the
+    /// gateway is not stopping.
+    pub(crate) fn stop_limit(&self, deadline: Duration) -> Option<Duration> {
+        let schedule = self.stop_schedule.get()?;
+        Some(schedule.latency_limit(self.now(), deadline))
     }
 
     /// Completes when the process is about to exit.
@@ -181,24 +179,13 @@
         result
     }
 
-    /// Chooses the endpoint for a request with this deadline.
+    /// Chooses the endpoint for a request.
     pub(crate) fn choose_endpoint(
         &self,
         request: &Request<'_>,
-        deadline: Duration,
     ) -> std::result::Result<Choice, Refusal> {
         let now = self.now();
-        let schedule = self.stop_schedule.get();
-        let limited_by_stop = schedule.is_some_and(|s| s.exit_at() < deadline);
-        match self.dispatcher.borrow_mut().choose(now, request) {
-            Err(refusal) if limited_by_stop && refusal.reason == RefusalReason::TooLate => {
-                Err(Refusal {
-                    reason: RefusalReason::Stopping,
-                    ..refusal
-                })
-            }
-            result => result,
-        }
+        self.dispatcher.borrow_mut().choose(now, request)
     }
 
     /// Records the outcome of an attempt.
