Check the health of ejected endpoints that only orders use

Cause: only an idempotent request may probe an ejected endpoint, so that an order is not lost at a faulty one. A service without idempotent requests never got a probe.

An order that could use such an endpoint now requests a health check on the health path of the service, which the configuration has had all along. After it is passed, one order at a time is sent, as with idempotent requests; its success ends the ejection. A failed check ejects the endpoint again. Checks are sent only when an order needs them, so a healthy deployment sends none. Weighed: sending an order after a longer time, which may lose it.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,3 +1,4 @@
+mod check_health;
 mod choose;
 mod endpoint;
 mod record_outcome;
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -210,17 +210,16 @@
             return false;
         };
         let region = self.settings.region_of(&e.failure_domain);
+        let in_own_region = region == self.settings.region();
         let homes = request.home_regions;
         let in_home_region = homes.is_empty() || homes.iter().any(|h| h == region);
-        // A non-idempotent request must not serve as the probe of an endpoint that failed.
-        let may_probe = !e.needs_probe() || (request.idempotent && e.load.own_in_progress() == 0);
         match e.is_cold(now) {
-            _ if !in_home_region || !may_probe || !e.is_usable(now, &self.evacuated) => false,
+            _ if !in_home_region || !e.is_usable(now, &self.evacuated) => false,
+            _ if !e.may_send(request.idempotent) => false,
             false => true,
             true => {
                 let offset = self.rng.random_range(0.0..1.0);
-                region == self.settings.region()
-                    && e.cold_limiter.allows(now, cold_interval, offset)
+                in_own_region && e.cold_limiter.allows(now, cold_interval, offset)
             }
         }
     }
--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -1,4 +1,5 @@
 use crate::cold_rate_limiter::ColdRateLimiter;
+use crate::health_check::HealthCheckState;
 use crate::load_estimate::LoadEstimate;
 use crate::working_set::WorkingSet;
 use mangospindle_fleet::EndpointState;
@@ -43,6 +44,7 @@
     ejected_until: Duration,
     /// Whether a connection attempt failed since the last successful response.
     unreachable: bool,
+    pub(crate) health_check: HealthCheckState,
 }
 
 impl Endpoint {
@@ -68,6 +70,7 @@
             consecutive_failures: 0,
             ejected_until: Duration::ZERO,
             unreachable: false,
+            health_check: HealthCheckState::default(),
         };
         if !record.cold_for.is_zero() {
             endpoint.mark_cold(now, record.cold_for);
@@ -91,6 +94,23 @@
         (self.cold_until).is_some_and(|until| now < until + self.cold_margin)
     }
 
+    /// Whether a request may be sent as far as failures are concerned. An endpoint that was ejected
+    /// gets one request at a time; a non-idempotent one only after a health check, which is
+    /// requested here.
+    pub(crate) fn may_send(&mut self, idempotent: bool) -> bool {
+        let idle = self.load.own_in_progress() == 0;
+        match self.health_check {
+            _ if !self.needs_probe() => true,
+            _ if idempotent => idle,
+            HealthCheckState::NotNeeded => {
+                self.health_check = HealthCheckState::Wanted;
+                false
+            }
+            HealthCheckState::Wanted | HealthCheckState::Running => false,
+            HealthCheckState::Passed => idle,
+        }
+    }
+
     /// Whether the endpoint was ejected and has not responded successfully since. After the
     /// ejection it receives one request at a time as a probe.
     pub(crate) fn needs_probe(&self) -> bool {
@@ -101,6 +121,7 @@
     /// restarted, so it counts as cold for `cold_start` from now on.
     pub(crate) fn record_success(&mut self, now: Duration, cold_start: Duration) {
         self.consecutive_failures = 0;
+        self.health_check = HealthCheckState::NotNeeded;
         self.failure_ratio -= FAILURE_SAMPLE_WEIGHT * self.failure_ratio;
         if std::mem::take(&mut self.unreachable) {
             self.mark_cold(now, cold_start);
@@ -117,6 +138,7 @@
     pub(crate) fn record_failure(&mut self, now: Duration, count: u32) {
         self.failure_ratio += FAILURE_SAMPLE_WEIGHT * (1.0 - self.failure_ratio);
         self.consecutive_failures += count;
+        self.health_check = HealthCheckState::NotNeeded;
         if self.consecutive_failures >= EJECTION_THRESHOLD {
             let doublings = (self.consecutive_failures - EJECTION_THRESHOLD).min(3);
             self.ejected_until =
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod cold_rate_limiter;
 mod dispatcher;
 mod endpoint_key;
+mod health_check;
 mod load_estimate;
 mod outcome;
 mod refusal;
@@ -37,6 +38,7 @@
 
 pub use dispatcher::Dispatcher;
 pub use endpoint_key::EndpointKey;
+pub use health_check::HealthCheck;
 pub use load_estimate::LoadReading;
 pub use outcome::Outcome;
 pub use refusal::{Refusal, RefusalReason};
--- a/crates/dispatch/tests/choices/main.rs
+++ b/crates/dispatch/tests/choices/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod cold;
+mod health_checks;
 mod stops;
 mod support;
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -76,7 +76,8 @@
 ) -> AttemptResult {
     let mut guard = SendGuard::new(Rc::clone(gateway), choice.ticket);
     let remaining = context.deadline.saturating_sub(gateway.now());
-    let lease = match connect(gateway, choice, context.idempotent, remaining).await {
+    let (endpoint, address) = (choice.ticket.endpoint, choice.address);
+    let lease = match connect(gateway, endpoint, address, context.idempotent, remaining).await {
         Ok(lease) => lease,
         Err(e) => {
             log::debug!("failed to connect to {}: {e}", choice.address);
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -2,8 +2,9 @@
 
 use crate::gateway::Gateway;
 use mangospindle_client::{Connection, Lease};
-use mangospindle_dispatch::{Choice, EndpointKey};
+use mangospindle_dispatch::EndpointKey;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,7 +20,8 @@
 /// fails.
 pub(crate) async fn connect(
     gateway: &Gateway,
-    choice: &Choice,
+    endpoint: EndpointKey,
+    address: SocketAddr,
     idempotent: bool,
     time_left: Duration,
 ) -> io::Result<Lease<EndpointKey>> {
@@ -28,15 +30,12 @@
         true => Duration::ZERO,
         false => now.saturating_sub(MAX_VALIDATION_AGE),
     };
-    if let Some(lease) = gateway
-        .pool
-        .acquire(choice.ticket.endpoint, now, validated_after)
-    {
+    if let Some(lease) = gateway.pool.acquire(endpoint, now, validated_after) {
         return Ok(lease);
     }
-    let mut lease = Lease::unopened(Arc::clone(&gateway.pool), choice.ticket.endpoint);
+    let mut lease = Lease::unopened(Arc::clone(&gateway.pool), endpoint);
     let timeout = CONNECT_TIMEOUT.min(time_left);
-    let connection = Connection::open(choice.address, now, timeout).await?;
+    let connection = Connection::open(address, now, timeout).await?;
     gateway.metrics.connections_opened.inc();
     lease.set_connection(connection);
     Ok(lease)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,11 +3,11 @@
 use crate::protocol::Protocol;
 use crate::requests_in_progress::RequestsInProgress;
 use crate::settings::GatewaySettings;
-use crate::{control_sync, drain};
+use crate::{control_sync, drain, health_checks};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
-    Choice, Dispatcher, EndpointKey, Outcome, Refusal, Request, SendTicket, StopSchedule,
-    WeightedRoundRobin,
+    Choice, Dispatcher, EndpointKey, HealthCheck, Outcome, Refusal, Request, SendTicket,
+    StopSchedule, WeightedRoundRobin,
 };
 use mangospindle_model::{Clock, Route, RouteKey, RouteTable};
 use mangospindle_rpc::{ControlClient, ControlClientSettings};
@@ -110,6 +110,7 @@
             target_round_robins: RefCell::default(),
         });
         tokio::task::spawn_local(accept_connections(Rc::clone(&gateway), listener));
+        tokio::task::spawn_local(health_checks::run_health_checks(Rc::clone(&gateway)));
         tokio::task::spawn_local(control_sync::apply_config_updates(
             Rc::clone(&gateway),
             client.clone(),
@@ -195,6 +196,19 @@
         dispatcher.record_outcome(now, ticket, outcome);
     }
 
+    /// The health checks to send now.
+    pub(crate) fn take_health_checks(&self) -> Vec<HealthCheck> {
+        let now = self.now();
+        self.dispatcher.borrow_mut().take_health_checks(now)
+    }
+
+    /// Records the result of a health check.
+    pub(crate) fn record_health_check(&self, endpoint: EndpointKey, passed: bool) {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.record_health_check(now, endpoint, passed);
+    }
+
     /// Index of the target for the next request of a route, according to the target weights.
     /// `None` if the route has no target.
     pub(crate) fn next_target(&self, key: &RouteKey, route: &Route) -> Option<usize> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod drain;
 mod forward;
 mod gateway;
+mod health_checks;
 mod inbound_request;
 mod metrics;
 mod protocol;
