Notice that a caller has left while its requests wait

Endpoints got requests more than half a second after their caller had closed the connection.

Cause: while 16 requests of a connection were in progress, the entry did not read, so it saw neither the caller's close nor the end of the stream. The next read started the requests that had waited in the kernel.

The entry now reads up to 64 KiB ahead, and starts a request only when fewer than 16 are in progress. The limit also holds for requests that arrive in one read, which it did not before. Requests beyond 64 KiB still wait in the kernel.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -22,6 +22,11 @@
 /// Maximum number of pipelined requests that are served concurrently on one connection.
 const MAX_PIPELINED: usize = 16;
 
+/// Maximum number of bytes that are read ahead of the requests that are served, while the maximum
+/// number of requests is in progress. Without reading ahead, the entry would not notice that the
+/// caller has disconnected, and would serve its further requests later.
+const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+
 /// Buffer space reserved for a read, in bytes.
 const READ_BYTES: usize = 4 * 1024;
 
@@ -106,7 +111,7 @@
             if self.closing && self.responses.is_empty() {
                 return self.close().await;
             }
-            let can_read = self.responses.len() < MAX_PIPELINED;
+            let can_read = self.can_start() || self.buf.len() < MAX_READ_AHEAD_BYTES;
             let idle_deadline = self.idle_deadline();
             let idle = self.responses.is_empty();
             self.buf.reserve(READ_BYTES);
@@ -114,6 +119,7 @@
                 biased;
                 Some(completed) = self.responses.next(), if !idle => {
                     self.send_response(completed).await?;
+                    self.decode_requests().await?;
                 }
                 // Also detects that the caller has disconnected while requests are in progress.
                 read = self.read.read_buf(&mut self.buf), if can_read => {
@@ -145,10 +151,16 @@
         }
     }
 
-    /// Decodes the buffered bytes and starts each complete request.
+    /// Whether another request may be started now.
+    fn can_start(&self) -> bool {
+        self.responses.len() < MAX_PIPELINED
+    }
+
+    /// Decodes the buffered bytes and starts each complete request, up to the maximum number in
+    /// progress.
     async fn decode_requests(&mut self) -> io::Result<()> {
         let limits = self.gateway.routes().limits;
-        while !self.closing {
+        while !self.closing && self.can_start() {
             match self.reader.decode(&mut self.buf, &limits) {
                 Ok(Decoded::Request(inbound)) => self.start(*inbound),
                 Ok(Decoded::Continue) => {
