Count an action as in progress until it ends, also without its caller

A caller that disconnected after it had sent an at-most-once action to a stopping entry could not learn the result: a retry with the same key through another entry got 409 action-in-progress, and still did 20 s after the exit (a trial), although the endpoint had run the action. By the code the claim becomes unknown when the entry joins again or is fenced.

Cause: run_action moves the action into a task of its own, so that it continues without its caller, but the guard that counts the request stayed in the handler, which the disconnect drops. The drain saw no request and no command, and the process exited while the action waited for its claim or its endpoint.

The task now holds a clone of the guard. Clones share one count, so that an action with its caller still counts once in requests_in_progress. The drain's limits stay as they are.

Ruled out: the limits of the drain (it ended 5 s after the signal).

The fake control replicas compared only the sequence number of an attempt, so that an attempt of another entry could get a claim in progress; they now compare the whole attempt, as the real ones do.

--- a/crates/entry/src/actions.rs
+++ b/crates/entry/src/actions.rs
@@ -3,6 +3,7 @@
 
 use crate::client::{BodyFraming, ExchangeError};
 use crate::headers::{self, REPLAYED, REQUEST_ID};
+use crate::in_progress_guard::InProgressGuard;
 use crate::ingress;
 use crate::outbound_request::{OutboundBody, OutboundRequest};
 use crate::propose_with_retry::propose_with_retry;
@@ -58,20 +59,23 @@
     }
 }
 
-/// Runs an action. It continues if the caller disconnects, so that a retry finds the response.
+/// Runs an action. It continues if the caller disconnects, so that a retry finds the response, and
+/// counts as in progress until it ends.
 pub(crate) async fn run_action(
     shared: &Arc<ServerState>,
     cx: &RequestContext,
     outbound: OutboundRequest,
     key: &str,
+    count: &InProgressGuard,
 ) -> Result<ProxyResponse, RequestError> {
     let (tx, rx) = oneshot::channel();
     let key = ClaimKey {
         service: cx.service,
         key: key.to_string(),
     };
-    let (shared, cx) = (Arc::clone(shared), cx.clone());
+    let (shared, cx, count) = (Arc::clone(shared), cx.clone(), count.clone());
     actix_rt::spawn(async move {
+        let _count = count;
         let result = claim_and_send(&shared, &cx, outbound, key).await;
         let label = match &result {
             Ok(_) => "answered",
--- a/crates/entry/src/in_progress_guard.rs
+++ b/crates/entry/src/in_progress_guard.rs
@@ -7,18 +7,26 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-/// Counts a request as in progress until it is dropped.
-pub(crate) struct InProgressGuard(Arc<ServerState>);
+/// Counts a request as in progress until the last clone is dropped.
+#[derive(Clone)]
+pub(crate) struct InProgressGuard {
+    _counted: Arc<CountedRequest>,
+}
 
 impl InProgressGuard {
     /// Increments the number of requests in progress.
     pub(crate) fn new(shared: &Arc<ServerState>) -> Self {
         shared.metrics.requests_in_progress.inc();
-        InProgressGuard(Arc::clone(shared))
+        InProgressGuard {
+            _counted: Arc::new(CountedRequest(Arc::clone(shared))),
+        }
     }
 }
 
-impl Drop for InProgressGuard {
+/// A request in the number of requests in progress.
+struct CountedRequest(Arc<ServerState>);
+
+impl Drop for CountedRequest {
     fn drop(&mut self) {
         self.0.metrics.requests_in_progress.dec();
     }
--- a/crates/entry/src/public_api.rs
+++ b/crates/entry/src/public_api.rs
@@ -34,7 +34,7 @@
 ) -> HttpResponse {
     let id = request_context::request_id(&req);
     let count = InProgressGuard::new(&shared);
-    let result = serve(&shared, &id, &req, payload).await;
+    let result = serve(&shared, &id, &count, &req, payload).await;
     if let Err(error) = &result {
         let name = error.kind.row().name;
         shared
@@ -51,6 +51,7 @@
 async fn serve(
     shared: &Arc<ServerState>,
     id: &str,
+    count: &InProgressGuard,
     req: &HttpRequest,
     payload: web::Payload,
 ) -> Result<ProxyResponse, RequestError> {
@@ -110,7 +111,7 @@
                 true => OutboundBody::Bytes(bytes),
                 false => OutboundBody::None,
             };
-            actions::run_action(shared, &cx, outbound, key).await?
+            actions::run_action(shared, &cx, outbound, key, count).await?
         }
     };
     let status = response.status.as_str();
--- a/crates/entry/tests/entry/fake_control.rs
+++ b/crates/entry/tests/entry/fake_control.rs
@@ -2,7 +2,7 @@
 use futures::future::{BoxFuture, ready};
 use mangospindle_entry::ControlPlane;
 use mangospindle_rpc::{ProposeResult, QueryResult};
-use mangospindle_state::{ClaimKey, ClaimOutcome, CommandKind, Outcome, RequestId};
+use mangospindle_state::{Attempt, ClaimKey, ClaimOutcome, CommandKind, Outcome, RequestId};
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -18,8 +18,8 @@
     LoseFirstResult,
 }
 
-/// Request digest, sequence number of the attempt, and state of a claim.
-type ClaimRecord = ([u8; 32], u64, ClaimOutcome);
+/// Request digest, attempt and state of a claim.
+type ClaimRecord = ([u8; 32], Attempt, ClaimOutcome);
 
 /// Control replicas that keep claims in memory and accept all other commands.
 #[derive(Default)]
@@ -44,14 +44,12 @@
                 log.push("claim");
                 Outcome::Claim(match claims.get(&key) {
                     None => {
-                        let record = (digest, attempt.sequence, ClaimOutcome::InProgress);
+                        let record = (digest, attempt, ClaimOutcome::InProgress);
                         claims.insert(key, record);
                         ClaimOutcome::Granted
                     }
                     Some((known, ..)) if *known != digest => ClaimOutcome::BodyMismatch,
-                    Some((_, sequence, ClaimOutcome::InProgress))
-                        if *sequence == attempt.sequence =>
-                    {
+                    Some((_, holder, ClaimOutcome::InProgress)) if *holder == attempt => {
                         ClaimOutcome::Granted
                     }
                     Some((_, _, outcome)) => outcome.clone(),
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -6,6 +6,8 @@
 use mangospindle_model::EntryId;
 use mangospindle_standin::{Behaviour, HealthState};
 use nix::sys::signal::Signal;
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::Duration;
 
 /// Bound within which a leaving endpoint must stop receiving requests, from the design page.
@@ -87,6 +89,86 @@
     );
 }
 
+/// Longest time from SIGTERM to the exit of an entry: lookup lifetime of 5 s, then for the release of
+/// the endpoints and for the requests each the longest deadline (60 s) and 5 s, then 2 s for closing.
+const EXIT_LIMIT: Duration = Duration::from_secs(5 + 2 * (60 + 5) + 2);
+
+/// Guards against an entry that exits while an action whose caller has disconnected still runs.
+#[actix_rt::test]
+async fn action_without_its_caller_survives_the_stop_of_its_entry() {
+    let mut spec = ClusterSpec::new(Example::Cantabrica);
+    spec.service_time_ms = 4_000;
+    let mut cluster = Cluster::start(spec).await.expect("starts");
+    let entry = cluster.process(Node::Entry(0)).expect("runs");
+    entry.signal(Signal::SIGTERM).expect("sent");
+    // The entry accepts requests for 5 s, and the action ends 6 s after the signal at the earliest.
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    let limit = Duration::from_secs(3);
+    let released = wait_until("the endpoints have other owners", limit, || async {
+        owned_endpoints(&cluster, EntryId(0)).await == 0
+    });
+    released.await.expect("released");
+    let mut caller = TcpStream::connect(cluster.entry_address(EntryId(0))).expect("connected");
+    let req = "POST /s/fianzas/charge HTTP/1.1\r\nhost: t\r\nidempotency-key: left\r\n\
+               content-length: 6\r\n\r\ncharge";
+    caller.write_all(req.as_bytes()).expect("sent");
+    let limit = Duration::from_secs(5);
+    let runs = wait_until("the action runs", limit, || async {
+        executions(&cluster, "left").await > 0
+    });
+    runs.await.expect("runs");
+    drop(caller);
+    let status = wait_for_exit(&mut cluster, EXIT_LIMIT).await;
+    assert_eq!(status, Some(0));
+    let address = cluster.entry_address(EntryId(8));
+    let req = Client::builder().disable_timeout().finish();
+    let req = req.post(format!("http://{address}/s/fianzas/charge"));
+    let req = req.insert_header(("idempotency-key", "left"));
+    let mut answer = req.send_body("charge").await.expect("answered");
+    let body = answer.body().await.expect("complete");
+    let log = cluster.process(Node::Entry(0)).expect("known").log();
+    let replayed = answer.headers().contains_key("x-replayed");
+    let context = format!("{answer:?}\n{body:?}\n{log}");
+    assert_eq!(
+        (answer.status().as_u16(), replayed),
+        (200, true),
+        "{context}"
+    );
+    assert_eq!(executions(&cluster, "left").await, 1, "{context}");
+}
+
+/// Number of endpoints that an entry owns, by its own status.
+async fn owned_endpoints(cluster: &Cluster, entry: EntryId) -> usize {
+    let address = cluster.topology().entries[entry.index()].internal_address;
+    let status = Client::default().get(format!("http://{address}/v1/status"));
+    let mut answer = status.send().await.expect("answered");
+    let status: serde_json::Value = answer.json().await.expect("status");
+    let owned = status["configuration"]["owned_endpoints"].as_array();
+    owned.expect("the status lists them").len()
+}
+
+/// Number of times that the endpoints ran the action with this key.
+async fn executions(cluster: &Cluster, key: &str) -> u32 {
+    let report = cluster.standins.report().await.expect("stand-ins report");
+    let endpoints = report.endpoints.values();
+    endpoints.filter_map(|e| e.executions.get(key)).sum()
+}
+
+/// Waits up to `limit` for the exit of entry 0 and returns its exit code.
+async fn wait_for_exit(cluster: &mut Cluster, limit: Duration) -> Option<i32> {
+    let wait = async {
+        loop {
+            let entry = cluster.process(Node::Entry(0)).expect("known");
+            if let Some(status) = entry.try_wait().expect("waits") {
+                return status.code();
+            }
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let status = actix_rt::time::timeout(limit, wait).await;
+    status.expect("the entry exits within its limit")
+}
+
 /// Who says that an endpoint leaves.
 #[derive(Clone, Copy, Debug)]
 enum Source {
