Count a command as pending before its task is spawned

Suspected, not shown: a drain of the product's entry could end between the spawn of a task that records the completion of an action and its first poll, because the command was counted from that poll on and the drain runs on another thread. The result of the action would be lost, and its claim stay held.

The guard is now created when the future is, on the thread that spawns it.

--- a/crates/entry/src/actions.rs
+++ b/crates/entry/src/actions.rs
@@ -131,8 +131,9 @@
             // until its result is known. Only then is the claim released, so that the release
             // cannot overtake the claim.
             let shared = Arc::clone(shared);
+            let pending = propose_with_retry(&shared, command, request);
             actix_rt::spawn(async move {
-                let outcome = propose_with_retry(&shared, command, request).await;
+                let outcome = pending.await;
                 if outcome == Some(Outcome::Claim(ClaimOutcome::Granted)) {
                     release_claim(&shared, &claim).await;
                 }
@@ -168,8 +169,7 @@
     let mut response = match send_result {
         Ok(response) => response,
         Err(error) if error.did_not_run() => {
-            let shared = Arc::clone(shared);
-            actix_rt::spawn(async move { release_claim(&shared, &claim).await });
+            actix_rt::spawn(release_claim(shared, &claim));
             return Err(error);
         }
         Err(error) => return Err(mark_unknown(shared, claim, error.kind)),
@@ -223,22 +223,22 @@
     RequestError::new(ErrorKind::OutcomeUnknown, cause.row().title)
 }
 
-async fn release_claim(shared: &Arc<ServerState>, claim: &Claim) {
+/// Releases a claim. Without a result, the claim stays held and its outcome counts as unknown.
+fn release_claim(
+    shared: &Arc<ServerState>,
+    claim: &Claim,
+) -> impl Future<Output = Option<Outcome>> + use<> {
     let command = CommandKind::ReleaseClaim {
         key: claim.key.clone(),
         attempt: claim.attempt,
     };
     let request = RequestId(format!("{}/release", claim.request));
-    // Without a result, the claim stays held and its outcome counts as unknown.
-    let _outcome = propose_with_retry(shared, command, request).await;
+    propose_with_retry(shared, command, request)
 }
 
 fn spawn_propose(shared: &Arc<ServerState>, command: CommandKind, request: String) {
-    let shared = Arc::clone(shared);
-    actix_rt::spawn(async move {
-        // Without a result, the outcome of the action counts as unknown.
-        let _outcome = propose_with_retry(&shared, command, RequestId(request)).await;
-    });
+    // Without a result, the outcome of the action counts as unknown.
+    actix_rt::spawn(propose_with_retry(shared, command, RequestId(request)));
 }
 
 /// Digest of the method, path and body of a request.
--- a/crates/entry/src/propose_with_retry.rs
+++ b/crates/entry/src/propose_with_retry.rs
@@ -20,12 +20,24 @@
 
 /// Proposes a command until its result is known. All proposals carry the same identifier, so that
 /// a repeated one gets the first result. Returns `None` if the command was abandoned.
-pub(crate) async fn propose_with_retry(
+///
+/// The command counts as pending from this call on, not only from the first poll: a drain on another
+/// thread could otherwise end between the spawn of the future and its first poll.
+pub(crate) fn propose_with_retry(
     shared: &Arc<ServerState>,
     command: CommandKind,
     request: RequestId,
+) -> impl Future<Output = Option<Outcome>> + use<> {
+    let pending = PendingCommandGuard::new(shared);
+    propose_until_result(pending, command, request)
+}
+
+async fn propose_until_result(
+    pending: PendingCommandGuard,
+    command: CommandKind,
+    request: RequestId,
 ) -> Option<Outcome> {
-    let _pending = PendingCommandGuard::new(shared);
+    let shared = &pending.0;
     let deadline = shared.now() + RETRY_TIMEOUT;
     let mut backoff = BACKOFF_RANGE.0;
     loop {
