--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -74,6 +74,9 @@
         if !self.services.contains_key(request.service) {
             return Err(self.refusal(RefusalReason::NoEndpoint, request, 0.0));
         }
+        if request.stop_limit.is_some_and(|limit| limit.is_zero()) {
+            return Err(self.refusal(RefusalReason::Stopping, request, 0.0));
+        }
         if request.repeated && !self.withdraw_retry(request.service) {
             return Err(self.refusal(RefusalReason::NoRetryBudget, request, 0.0));
         }
@@ -85,6 +88,9 @@
         if excess > 0.0 {
             return Err(self.refusal(RefusalReason::TooLate, request, excess));
         }
+        if (request.stop_limit).is_some_and(|limit| best.latency_seconds > limit.as_secs_f64()) {
+            return Err(self.refusal(RefusalReason::Stopping, request, 0.0));
+        }
         if request.tried.is_empty()
             && let Some(service) = self.services.get_mut(request.service)
         {
@@ -204,17 +210,16 @@
             return false;
         };
         let region = self.settings.region_of(&e.failure_domain);
+        let in_own_region = region == self.settings.region();
         let homes = request.home_regions;
         let in_home_region = homes.is_empty() || homes.iter().any(|h| h == region);
-        // A non-idempotent request must not serve as the probe of an endpoint that failed.
-        let may_probe = !e.needs_probe() || (request.idempotent && e.load.own_in_progress() == 0);
         match e.is_cold(now) {
-            _ if !in_home_region || !may_probe || !e.is_usable(now, &self.evacuated) => false,
+            _ if !in_home_region || !e.is_usable(now, &self.evacuated) => false,
+            _ if !e.may_send(request.idempotent) => false,
             false => true,
             true => {
                 let offset = self.rng.random_range(0.0..1.0);
-                region == self.settings.region()
-                    && e.cold_limiter.allows(now, cold_interval, offset)
+                in_own_region && e.cold_limiter.allows(now, cold_interval, offset)
             }
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,10 +3,10 @@
 use crate::protocol::Protocol;
 use crate::requests_in_progress::RequestsInProgress;
 use crate::settings::GatewaySettings;
-use crate::{control_sync, drain};
+use crate::{control_sync, drain, health_checks};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
-    Choice, Dispatcher, EndpointKey, Outcome, Refusal, RefusalReason, Request, SendTicket,
+    Choice, Dispatcher, EndpointKey, HealthCheck, Outcome, Refusal, Request, SendTicket,
     StopSchedule, WeightedRoundRobin,
 };
 use mangospindle_model::{Clock, Route, RouteKey, RouteTable};
@@ -110,6 +110,7 @@
             target_round_robins: RefCell::default(),
         });
         tokio::task::spawn_local(accept_connections(Rc::clone(&gateway), listener));
+        tokio::task::spawn_local(health_checks::run_health_checks(Rc::clone(&gateway)));
         tokio::task::spawn_local(control_sync::apply_config_updates(
             Rc::clone(&gateway),
             client.clone(),
@@ -146,13 +147,11 @@
         self.clock.now()
     }
 
-    /// Time that a request with this deadline may take from now on; zero if a stop leaves none.
-    pub(crate) fn time_left(&self, deadline: Duration) -> Duration {
-        let now = self.now();
-        match self.stop_schedule.get() {
-            Some(schedule) => schedule.time_left(now, deadline),
-            None => deadline.saturating_sub(now),
-        }
+    /// Longest expected latency that a stop allows for a request with this deadline; `None` if the
+    /// gateway is not stopping.
+    pub(crate) fn stop_limit(&self, deadline: Duration) -> Option<Duration> {
+        let schedule = self.stop_schedule.get()?;
+        Some(schedule.latency_limit(self.now(), deadline))
     }
 
     /// Completes when the process is about to exit.
@@ -181,24 +180,13 @@
         result
     }
 
-    /// Chooses the endpoint for a request with this deadline.
+    /// Chooses the endpoint for a request.
     pub(crate) fn choose_endpoint(
         &self,
         request: &Request<'_>,
-        deadline: Duration,
     ) -> std::result::Result<Choice, Refusal> {
         let now = self.now();
-        let schedule = self.stop_schedule.get();
-        let limited_by_stop = schedule.is_some_and(|s| s.exit_at() < deadline);
-        match self.dispatcher.borrow_mut().choose(now, request) {
-            Err(refusal) if limited_by_stop && refusal.reason == RefusalReason::TooLate => {
-                Err(Refusal {
-                    reason: RefusalReason::Stopping,
-                    ..refusal
-                })
-            }
-            result => result,
-        }
+        self.dispatcher.borrow_mut().choose(now, request)
     }
 
     /// Records the outcome of an attempt.
@@ -208,6 +196,19 @@
         dispatcher.record_outcome(now, ticket, outcome);
     }
 
+    /// The health checks to send now.
+    pub(crate) fn take_health_checks(&self) -> Vec<HealthCheck> {
+        let now = self.now();
+        self.dispatcher.borrow_mut().take_health_checks(now)
+    }
+
+    /// Records the result of a health check.
+    pub(crate) fn record_health_check(&self, endpoint: EndpointKey, passed: bool) {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.record_health_check(now, endpoint, passed);
+    }
+
     /// Index of the target for the next request of a route, according to the target weights.
     /// `None` if the route has no target.
     pub(crate) fn next_target(&self, key: &RouteKey, route: &Route) -> Option<usize> {
