Relay requests while an entry has no path to the endpoints

Cause: readiness described the entry's own state and not whether it can do its work, and there was no other way for a request. The loss was learned endpoint by endpoint, which takes longer than the cut at 250 to 500 endpoints and 25 requests a second.

The entry now has one state for all its paths (`PathMonitor`): silence while a request waits, or failed connections to several endpoints, lead to a round of probes to endpoints in different failure domains, and only if all of these fail are the paths lost. While they are, each request that was sent nowhere is offered to another entry over an internal listener, which serves it like one of its own and never relays it again. A request is relayed, too, if two endpoints in a row were unreachable or none is usable here. The entry asks to be left out of the directory until a path is back for a second.

Why it works: callers are served from the first probe round on, with or without a new lookup, so the time to live of lookups and open connections no longer matter. At most once holds: nothing is relayed that was sent, and a relay that failed after its first byte is answered 502.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 mod check_health;
 mod choose;
 mod endpoint;
+mod probe_targets;
 mod record_outcome;
 mod service;
 mod update;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,9 +17,11 @@
 mod entry_announcement;
 mod exchange;
 mod fleet;
+mod relay_peers;
 
 pub use endpoint_list::EndpointList;
 pub use endpoint_record::{EndpointRecord, EndpointState};
 pub use entry_announcement::EntryAnnouncement;
 pub use exchange::{AnnouncedEntry, ExchangeError, ExchangeReply, ExchangeRequest};
 pub use fleet::{CallerLocation, EntryLookup, Fleet};
+pub use relay_peers::RelayPeers;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,19 +1,22 @@
 //! One attempt to send a request to an endpoint.
 
 use crate::connect::connect;
+use crate::connection_target::ConnectionTarget;
 use crate::gateway::Gateway;
 use crate::inbound_request::InboundRequest;
+use crate::origin::Origin;
 use crate::requests_in_progress::RequestKey;
 use crate::response::{Response, ResponseBody, StreamedBody};
 use crate::send_guard::SendGuard;
 use actix_web::http::Method;
+use actix_web::http::header::HeaderMap;
 use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream};
 use mangospindle_client::{
     BodyFraming, BodyStream, Exchange, ExchangeError, RequestHead, RequestWriter, ResponseHead,
     end_to_end_headers,
 };
-use mangospindle_dispatch::{Choice, EndpointKey, Outcome};
+use mangospindle_dispatch::{Choice, Outcome};
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
@@ -62,6 +65,7 @@
     pub(crate) id: &'a str,
     /// Whether the request may run more than once.
     pub(crate) idempotent: bool,
+    pub(crate) origin: Origin,
     /// When the response has to be complete, on the local clock.
     pub(crate) deadline: Duration,
     /// Key of the request in [`Gateway::in_progress`].
@@ -122,6 +126,14 @@
     gateway
         .protocol
         .set_request_headers(&mut headers, &choice.instance, remaining);
+    request_writer(context, headers)
+}
+
+/// Encodes the request with these headers.
+pub(crate) fn request_writer(
+    context: &AttemptContext<'_>,
+    headers: HeaderMap,
+) -> Result<RequestWriter, ExchangeError> {
     let head = RequestHead {
         method: context.inbound.method.clone(),
         path: context.inbound.target.clone(),
@@ -156,9 +168,10 @@
     gateway: &Gateway,
     context: &AttemptContext<'_>,
     head: ResponseHead,
-    exchange: Exchange<EndpointKey>,
+    exchange: Exchange<ConnectionTarget>,
     mut guard: SendGuard,
 ) -> AttemptResult {
+    (gateway.paths.borrow_mut()).record_response(gateway.now());
     let metadata = gateway.protocol.response_metadata(&head);
     if metadata.misdirected {
         guard.finish(Outcome::Misdirected);
@@ -186,7 +199,7 @@
 }
 
 /// Reads the rest of a short response, so that its connection can be reused.
-async fn drain_body(mut exchange: Exchange<EndpointKey>) {
+async fn drain_body(mut exchange: Exchange<ConnectionTarget>) {
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
     let read_rest =
         async { while let Some(Ok(_)) = poll_fn(|cx| exchange.poll_chunk(cx)).await {} };
@@ -195,9 +208,9 @@
 }
 
 /// Buffers the body of a response. A body beyond [`MAX_BUFFERED_BYTES`] is returned as a stream.
-async fn read_body(
+pub(crate) async fn read_body(
     head: &ResponseHead,
-    mut exchange: Exchange<EndpointKey>,
+    mut exchange: Exchange<ConnectionTarget>,
     mut guard: SendGuard,
     deadline: Duration,
     server_error: bool,
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -1,5 +1,6 @@
 //! Obtaining a connection to an endpoint.
 
+use crate::connection_target::ConnectionTarget;
 use crate::gateway::Gateway;
 use mangospindle_client::{Connection, Lease};
 use mangospindle_dispatch::EndpointKey;
@@ -10,7 +11,7 @@
 
 /// Timeout for opening a connection. It allows several round trips between regions and leaves time
 /// to try another endpoint.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum time since the last response on a pooled connection that is used for a request that is
 /// not idempotent. A connection can stop delivering data for good while new ones work.
@@ -24,19 +25,39 @@
     address: SocketAddr,
     idempotent: bool,
     time_left: Duration,
-) -> io::Result<Lease<EndpointKey>> {
+) -> io::Result<Lease<ConnectionTarget>> {
     let now = gateway.now();
     let validated_after = match idempotent {
         true => Duration::ZERO,
         false => now.saturating_sub(MAX_VALIDATION_AGE),
     };
-    if let Some(lease) = gateway.pool.acquire(endpoint, now, validated_after) {
-        return Ok(lease);
+    let target = ConnectionTarget::Endpoint(endpoint);
+    match gateway.pool.acquire(target, now, validated_after) {
+        Some(lease) => Ok(lease),
+        None => open(gateway, endpoint, address, time_left).await,
     }
-    let mut lease = Lease::unopened(Arc::clone(&gateway.pool), endpoint);
+}
+
+/// Opens a connection and tells the path monitor whether that succeeded.
+pub(crate) async fn open(
+    gateway: &Gateway,
+    endpoint: EndpointKey,
+    address: SocketAddr,
+    time_left: Duration,
+) -> io::Result<Lease<ConnectionTarget>> {
+    let target = ConnectionTarget::Endpoint(endpoint);
+    let mut lease = Lease::unopened(Arc::clone(&gateway.pool), target);
     let timeout = CONNECT_TIMEOUT.min(time_left);
-    let connection = Connection::open(address, now, timeout).await?;
+    let opened = Connection::open(address, gateway.now(), timeout).await;
+    let mut paths = gateway.paths.borrow_mut();
+    match &opened {
+        Ok(_) => paths.record_connected(),
+        // Less than the usual timeout says nothing about the path.
+        Err(_) if timeout < CONNECT_TIMEOUT => {}
+        Err(_) => paths.record_connect_failure(endpoint),
+    }
+    drop(paths);
+    lease.set_connection(opened?);
     gateway.metrics.connections_opened.inc();
-    lease.set_connection(connection);
     Ok(lease)
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,6 +3,7 @@
 use crate::forward::forward;
 use crate::gateway::{Gateway, Phase};
 use crate::inbound_request::{Decoded, InboundRequest, RequestReader};
+use crate::origin::Origin;
 use crate::requests_in_progress::RequestKey;
 use crate::response::Response;
 use crate::writer::{write_all, write_response};
@@ -62,13 +63,13 @@
 type CompletedRequest = (Response, Option<InProgressGuard>);
 
 /// Serves a connection until it is closed.
-pub(crate) async fn serve_connection(gateway: Rc<Gateway>, mut stream: TcpStream) {
+pub(crate) async fn serve_connection(gateway: Rc<Gateway>, mut stream: TcpStream, origin: Origin) {
     gateway.metrics.caller_connections.inc();
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY: {e}");
     }
     let (read, write) = stream.split();
-    let mut connection = CallerConnection::new(Rc::clone(&gateway), read, write);
+    let mut connection = CallerConnection::new(Rc::clone(&gateway), origin, read, write);
     // Logged at debug level only: the caller has disconnected, or its response tells the reason.
     if let Err(e) = connection.run().await {
         log::debug!("caller connection failed: {e}");
@@ -76,9 +77,10 @@
     gateway.metrics.caller_connections.dec();
 }
 
-/// A connection of a caller and its requests in progress.
+/// A connection of a caller, or of an entry that relays requests, and its requests in progress.
 struct CallerConnection<'a> {
     gateway: Rc<Gateway>,
+    origin: Origin,
     read: ReadHalf<'a>,
     write: WriteHalf<'a>,
     reader: RequestReader,
@@ -92,9 +94,10 @@
 }
 
 impl<'a> CallerConnection<'a> {
-    fn new(gateway: Rc<Gateway>, read: ReadHalf<'a>, write: WriteHalf<'a>) -> Self {
+    fn new(gateway: Rc<Gateway>, origin: Origin, read: ReadHalf<'a>, write: WriteHalf<'a>) -> Self {
         CallerConnection {
             gateway,
+            origin,
             read,
             write,
             reader: RequestReader::new(),
@@ -186,8 +189,9 @@
         let arrived_at = gateway.now();
         let guard = InProgressGuard::new(&gateway, arrived_at);
         let key = guard.key;
+        let origin = self.origin;
         self.responses.push_back(Box::pin(async move {
-            let response = forward(gateway, inbound, arrived_at, key).await;
+            let response = forward(gateway, inbound, origin, arrived_at, key).await;
             (response, Some(guard))
         }));
     }
--- a/crates/gateway/src/control_sync.rs
+++ b/crates/gateway/src/control_sync.rs
@@ -51,14 +51,18 @@
     loop {
         let request = ExchangeRequest {
             entry: Some(announcement(&gateway)),
-            wants_entries: false,
+            wants_entries: gateway.wants_peers(),
             known_list,
         };
         let requested_at = gateway.now();
         if let Some(reply) = client.exchange(&request.encode()).await {
             match ExchangeReply::decode(&reply) {
-                Ok(reply) => {
+                Ok(mut reply) => {
                     client.set_replicas(preferred_order(&gateway.settings.name, &reply.replicas));
+                    if request.wants_entries {
+                        let entries = std::mem::take(&mut reply.entries);
+                        gateway.peers.borrow_mut().update(gateway.now(), entries);
+                    }
                     apply_reply(&gateway, requested_at, reply, &mut known_list);
                 }
                 Err(e) => event!(Warn, "exchange_failed", "reason" => e),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,9 @@
 use crate::attempt::{AttemptContext, AttemptResult, attempt};
 use crate::gateway::Gateway;
 use crate::inbound_request::InboundRequest;
+use crate::origin::Origin;
 use crate::protocol::RequestMetadata;
+use crate::relay::{mark_not_sent, relay};
 use crate::requests_in_progress::RequestKey;
 use crate::response::Response;
 use mangospindle_dispatch::{EndpointKey, Refusal, RefusalReason, Request};
@@ -25,6 +27,9 @@
 /// Maximum number of unreachable endpoints that one request may try, in addition to its sends.
 const MAX_UNREACHABLE_ENDPOINTS: usize = 4;
 
+/// Number of unreachable endpoints after which a request is relayed to another entry.
+const UNREACHABLE_BEFORE_RELAY: usize = 2;
+
 /// The attempts of a request so far.
 #[derive(Default)]
 struct SendHistory {
@@ -36,6 +41,8 @@
     unreachable: usize,
     /// Whether an endpoint may have run the request.
     may_have_run: bool,
+    /// Whether the request was offered to other entries.
+    relayed: bool,
     /// The latest server error that an endpoint returned.
     last_error: Option<Response>,
 }
@@ -44,6 +51,7 @@
 pub(crate) async fn forward(
     gateway: Rc<Gateway>,
     inbound: InboundRequest,
+    origin: Origin,
     arrived_at: Duration,
     progress: RequestKey,
 ) -> Response {
@@ -64,13 +72,16 @@
         return Response::error(ErrorKind::NoEndpoint, "the route has no target", None);
     };
     let service = route.targets[target].service.as_str();
-    let context = attempt_context(&inbound, &metadata, route, arrived_at, progress);
+    let context = attempt_context(&inbound, &metadata, route, origin, arrived_at, progress);
     gateway.in_progress.update(progress, |p| {
         p.id = context.id.to_string();
         p.route = route.name.clone();
         p.deadline = context.deadline;
     });
-    let response = serve(&gateway, &context, &metadata, route, service).await;
+    let mut response = serve(&gateway, &context, &metadata, route, service).await;
+    if origin == Origin::Entry {
+        mark_not_sent(&mut response, gateway.paths_lost());
+    }
     let elapsed = gateway.now().saturating_sub(arrived_at);
     let status = response.status.as_u16();
     let metrics = &gateway.metrics;
@@ -89,6 +100,7 @@
     inbound: &'a InboundRequest,
     metadata: &'a RequestMetadata,
     route: &Route,
+    origin: Origin,
     arrived_at: Duration,
     progress: RequestKey,
 ) -> AttemptContext<'a> {
@@ -98,6 +110,7 @@
         inbound,
         id: metadata.id.as_deref().unwrap_or_default(),
         idempotent: route.idempotent,
+        origin,
         deadline: (arrived_at + time_limit).saturating_sub(RESPONSE_MARGIN),
         progress,
     }
@@ -117,6 +130,20 @@
         .map(|k| hash_affinity_key(service, k));
     let mut history = SendHistory::default();
     loop {
+        if history.unreachable >= UNREACHABLE_BEFORE_RELAY || gateway.paths_lost() {
+            let relayed = relay_once(gateway, context, &mut history, route, service).await;
+            if let Some(response) = relayed {
+                return response;
+            }
+            if gateway.paths_lost() && (context.origin == Origin::Entry || history.unreachable > 0)
+            {
+                let refusal = Refusal {
+                    reason: RefusalReason::NoEndpoint,
+                    retry_after: gateway.retry_after(gateway.time_left(context)),
+                };
+                return refusal_response(gateway, context, history, refusal);
+            }
+        }
         let request = Request {
             service,
             affinity: affinity_hash.filter(|_| route.sticky),
@@ -131,6 +158,11 @@
         };
         let choice = match gateway.choose_endpoint(&request) {
             Ok(choice) => choice,
+            Err(refusal) if refusal.reason == RefusalReason::NoEndpoint => {
+                let relayed = relay_once(gateway, context, &mut history, route, service).await;
+                return relayed
+                    .unwrap_or_else(|| refusal_response(gateway, context, history, refusal));
+            }
             Err(refusal) => return refusal_response(gateway, context, history, refusal),
         };
         event!(Debug, "request_sent", "request" => context.id, "endpoint" => choice.instance,
@@ -199,6 +231,25 @@
     }
 }
 
+/// Relays a request of a caller that was neither sent nor relayed before. Returns `None` if it is not
+/// relayed.
+async fn relay_once(
+    gateway: &Rc<Gateway>,
+    context: &AttemptContext<'_>,
+    history: &mut SendHistory,
+    route: &Route,
+    service: &str,
+) -> Option<Response> {
+    let stop_limit = gateway.stop_limit(context.deadline);
+    let may_relay = context.origin == Origin::Caller
+        && history.sends == 0
+        && stop_limit.is_none_or(|limit| !limit.is_zero());
+    if !may_relay || std::mem::replace(&mut history.relayed, true) {
+        return None;
+    }
+    relay(gateway, context, route, service).await
+}
+
 /// The response to a request for which the dispatcher offers no endpoint.
 fn refusal_response(
     gateway: &Gateway,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,14 +1,18 @@
+use crate::attempt::AttemptContext;
 use crate::connection::serve_connection;
+use crate::connection_target::ConnectionTarget;
 use crate::metrics::Metrics;
+use crate::origin::Origin;
 use crate::protocol::Protocol;
 use crate::requests_in_progress::RequestsInProgress;
 use crate::settings::GatewaySettings;
-use crate::{control_sync, drain, health_checks};
+use crate::{control_sync, drain, health_checks, path_probes};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
-    Choice, Dispatcher, EndpointKey, HealthCheck, Outcome, Refusal, Request, SendTicket,
-    StopSchedule, WeightedRoundRobin,
+    Choice, Dispatcher, EndpointKey, HealthCheck, Outcome, PathMonitor, Refusal, Request,
+    SendTicket, StopSchedule, WeightedRoundRobin,
 };
+use mangospindle_fleet::RelayPeers;
 use mangospindle_model::{Clock, Route, RouteKey, RouteTable};
 use mangospindle_rpc::{ControlClient, ControlClientSettings};
 use mangospindle_telemetry::{event, metrics_text};
@@ -31,6 +35,10 @@
 /// a longer one.
 const MAX_RETRY_AFTER_FRACTION: f64 = 0.3;
 
+/// Time for which the peers are kept up to date after a request needed one. The list of all entries
+/// is not requested in calm times, because every entry would receive it in each exchange.
+const PEERS_WANTED_TIME: Duration = Duration::from_secs(5);
+
 /// Phase of serving or of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -50,7 +58,7 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) protocol: Box<dyn Protocol>,
-    pub(crate) pool: Arc<Pool<EndpointKey>>,
+    pub(crate) pool: Arc<Pool<ConnectionTarget>>,
     pub(crate) metrics: Metrics,
     pub(crate) incarnation: u64,
     pub(crate) in_progress: RequestsInProgress,
@@ -59,6 +67,13 @@
     pub(crate) stop_schedule: Cell<Option<StopSchedule>>,
     /// Wakes the task that announces this entry, ahead of its interval.
     pub(crate) announce_now: Notify,
+    /// Whether this entry has a path to any endpoint.
+    pub(crate) paths: RefCell<PathMonitor>,
+    /// Entries to which requests are relayed while there is none.
+    pub(crate) peers: RefCell<RelayPeers>,
+    /// Until when the peers are kept up to date.
+    peers_wanted_until: Cell<Duration>,
+    attracts_callers: Cell<bool>,
     registry: Registry,
     ready: Arc<AtomicBool>,
     dispatcher: RefCell<Dispatcher>,
@@ -85,6 +100,10 @@
             .await
             .into_diagnostic()
             .wrap_err("failed to bind the public listener")?;
+        let relay_listener = TcpListener::bind(settings.relay_listen)
+            .await
+            .into_diagnostic()
+            .wrap_err("failed to bind the relay listener")?;
         let registry = Registry::new();
         let client = ControlClient::start(ControlClientSettings {
             replicas: settings.control_replicas.clone(),
@@ -93,7 +112,9 @@
         });
         let client = client.ok_or_else(|| miette!("no control replica is configured"))?;
         let dispatcher = Dispatcher::new(settings.dispatch.clone(), rand::random());
+        let region = settings.dispatch.region().to_string();
         let gateway = Rc::new(Gateway {
+            peers: RefCell::new(RelayPeers::new(settings.name.clone(), region)),
             settings,
             clock,
             protocol: Box::new(protocol),
@@ -104,12 +125,19 @@
             phase: watch::Sender::new(Phase::Serving),
             stop_schedule: Cell::new(None),
             announce_now: Notify::new(),
+            paths: RefCell::default(),
+            peers_wanted_until: Cell::default(),
+            attracts_callers: Cell::new(true),
             registry,
             ready: Arc::default(),
             dispatcher: RefCell::new(dispatcher),
             target_round_robins: RefCell::default(),
         });
-        tokio::task::spawn_local(accept_connections(Rc::clone(&gateway), listener));
+        for (listener, origin) in [(listener, Origin::Caller), (relay_listener, Origin::Entry)] {
+            let accepting = accept_connections(Rc::clone(&gateway), listener, origin);
+            tokio::task::spawn_local(accepting);
+        }
+        tokio::task::spawn_local(path_probes::run_path_probes(Rc::clone(&gateway)));
         tokio::task::spawn_local(health_checks::run_health_checks(Rc::clone(&gateway)));
         tokio::task::spawn_local(control_sync::apply_config_updates(
             Rc::clone(&gateway),
@@ -229,9 +257,43 @@
         time_left.mul_f64(fraction)
     }
 
-    /// Whether the gateway accepts new callers.
+    /// Time until the response to a request has to be complete.
+    pub(crate) fn time_left(&self, context: &AttemptContext<'_>) -> Duration {
+        context.deadline.saturating_sub(self.now())
+    }
+
+    /// Whether new callers should be directed to this entry. A ready entry without a path to any
+    /// endpoint serves its callers through other entries, which is slower for them.
     pub(crate) fn is_accepting(&self) -> bool {
-        self.ready.load(Ordering::Relaxed)
+        self.ready.load(Ordering::Relaxed) && self.attracts_callers.get()
+    }
+
+    /// Announces at once that callers should leave or may return.
+    pub(crate) fn update_attraction(&self) {
+        let attracts = self.paths.borrow().attracts_callers(self.now());
+        if self.attracts_callers.replace(attracts) != attracts {
+            self.announce_now.notify_one();
+        }
+    }
+
+    /// Whether this entry has no path to any endpoint.
+    pub(crate) fn paths_lost(&self) -> bool {
+        self.paths.borrow().are_lost()
+    }
+
+    /// Keeps the peers up to date for a while, and updates them at once if they are not.
+    pub(crate) fn want_peers(&self) {
+        let now = self.now();
+        let were_wanted = self.wants_peers();
+        self.peers_wanted_until.set(now + PEERS_WANTED_TIME);
+        if !were_wanted {
+            self.announce_now.notify_one();
+        }
+    }
+
+    /// Whether the peers are kept up to date.
+    pub(crate) fn wants_peers(&self) -> bool {
+        self.now() < self.peers_wanted_until.get()
     }
 
     /// Recomputes the readiness and announces a change at once. The gateway is ready if it has
@@ -247,7 +309,7 @@
 }
 
 /// Accepts connections until the gateway refuses new requests.
-async fn accept_connections(gateway: Rc<Gateway>, listener: TcpListener) {
+async fn accept_connections(gateway: Rc<Gateway>, listener: TcpListener, origin: Origin) {
     let mut phase = gateway.phase.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -257,7 +319,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), stream));
+                tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), stream, origin));
             }
             Err(e) => {
                 event!(Warn, "accept_failed", "reason" => e);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod attempt;
 mod connect;
 mod connection;
+mod connection_target;
 mod control_sync;
 mod drain;
 mod forward;
@@ -27,7 +28,10 @@
 mod health_checks;
 mod inbound_request;
 mod metrics;
+mod origin;
+mod path_probes;
 mod protocol;
+mod relay;
 mod requests_in_progress;
 mod response;
 mod send_guard;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     sends: IntCounterVec,
     send_results: IntCounterVec,
     cold_sends: IntCounterVec,
+    relays: IntCounterVec,
     retry_budget: GaugeVec,
     region_entries: IntGauge,
     in_progress: IntGauge,
@@ -102,6 +103,11 @@
                 "Requests sent to cold endpoints.",
                 &["service"],
             )?,
+            relays: r.counters(
+                "relays_total",
+                "Requests offered to other entries while this one had no path, by result.",
+                &["result"],
+            )?,
             retry_budget: r.add(GaugeVec::new(budget, &["service"]))?,
             region_entries: r.gauge(
                 "region_entries",
@@ -148,6 +154,11 @@
         }
     }
 
+    /// Counts a request that was offered to another entry.
+    pub(crate) fn count_relay(&self, result: &str) {
+        self.relays.with_label_values(&[result]).inc();
+    }
+
     /// Counts the result of a request at an endpoint.
     pub(crate) fn count_result(&self, service: &str, result: &str) {
         let results = self.send_results.with_label_values(&[service, result]);
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -33,6 +33,9 @@
     /// Sets the headers that tell an endpoint which instance is expected and how much time is left.
     fn set_request_headers(&self, headers: &mut HeaderMap, instance: &str, time_left: Duration);
 
+    /// Sets the header that tells the entry to which a request is relayed how much time is left.
+    fn set_time_left(&self, headers: &mut HeaderMap, time_left: Duration);
+
     /// Parses the head of an endpoint's response.
     fn response_metadata(&self, head: &ResponseHead) -> ResponseMetadata;
 }
--- a/crates/gateway/src/requests_in_progress.rs
+++ b/crates/gateway/src/requests_in_progress.rs
@@ -59,6 +59,13 @@
         self.requests.borrow_mut().remove(&key);
     }
 
+    /// When the oldest attempt that is in progress was sent to an endpoint.
+    pub(crate) fn oldest_send(&self) -> Option<Duration> {
+        let requests = self.requests.borrow();
+        let sent = requests.values().filter(|r| !r.endpoint.is_empty());
+        sent.map(|r| r.sent_at).min()
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.requests.borrow().len()
     }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -1,9 +1,9 @@
+use crate::connection_target::ConnectionTarget;
 use crate::send_guard::SendGuard;
 use actix_web::http::StatusCode;
 use actix_web::http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use bytes::Bytes;
 use mangospindle_client::{Exchange, ResponseHead, end_to_end_headers};
-use mangospindle_dispatch::EndpointKey;
 use mangospindle_model::ErrorKind;
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
 pub(crate) struct StreamedBody {
     /// Bytes that were read before forwarding started.
     pub(crate) buffered: Bytes,
-    pub(crate) exchange: Exchange<EndpointKey>,
+    pub(crate) exchange: Exchange<ConnectionTarget>,
     /// Total length of the body in bytes, if the endpoint declared it.
     pub(crate) length: Option<u64>,
     pub(crate) guard: SendGuard,
@@ -40,6 +40,8 @@
     pub(crate) body: ResponseBody,
     /// Whether the connection is closed after the response.
     pub(crate) closes_connection: bool,
+    /// The error, if this entry made the response.
+    pub(crate) error_kind: Option<ErrorKind>,
 }
 
 impl Response {
@@ -50,6 +52,7 @@
             headers: end_to_end_headers(&head.headers, &[]),
             body,
             closes_connection: false,
+            error_kind: None,
         }
     }
 
@@ -75,6 +78,7 @@
             headers,
             body: ResponseBody::Buffered(Bytes::from(format!("{}: {detail}\n", row.name))),
             closes_connection: false,
+            error_kind: Some(kind),
         }
     }
 }
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 /// A request that was sent to an endpoint and whose outcome is not known yet. If the guard is
-/// dropped without an outcome, the request counts as cancelled by its caller.
+/// dropped without an outcome, the request counts as cancelled by its caller. The outcome of a
+/// request that was relayed to another entry is recorded by that entry only.
 pub(crate) struct SendGuard {
     gateway: Rc<Gateway>,
-    ticket: SendTicket,
+    /// `None` if the request was relayed.
+    ticket: Option<SendTicket>,
     sent_at: Duration,
     /// Time until the response head arrived, and the load that it reported.
     response_head: Option<(Duration, Option<LoadReading>)>,
@@ -17,6 +19,15 @@
 impl SendGuard {
     /// Guards a request that the dispatcher has just counted at an endpoint.
     pub(crate) fn new(gateway: Rc<Gateway>, ticket: SendTicket) -> Self {
+        SendGuard::with_ticket(gateway, Some(ticket))
+    }
+
+    /// Guards a request that is relayed to another entry.
+    pub(crate) fn relayed(gateway: Rc<Gateway>) -> Self {
+        SendGuard::with_ticket(gateway, None)
+    }
+
+    fn with_ticket(gateway: Rc<Gateway>, ticket: Option<SendTicket>) -> Self {
         SendGuard {
             sent_at: gateway.now(),
             gateway,
@@ -40,8 +51,9 @@
 
     /// Reports the outcome, unless one was reported before.
     pub(crate) fn finish(&mut self, outcome: Outcome) {
-        if !std::mem::replace(&mut self.finished, true) {
-            self.gateway.record_outcome(self.ticket, outcome);
+        let finished = std::mem::replace(&mut self.finished, true);
+        if let Some(ticket) = self.ticket.filter(|_| !finished) {
+            self.gateway.record_outcome(ticket, outcome);
         }
     }
 }
--- a/crates/settings/src/gateway_settings.rs
+++ b/crates/settings/src/gateway_settings.rs
@@ -26,7 +26,8 @@
     pub metrics_listen: SocketAddr,
     /// Addresses of some control replicas. Only the hosts count: RPC has the port below.
     pub control: Vec<SocketAddr>,
-    /// Port range for traffic between processes; control replicas serve RPC on the first.
+    /// Port range for traffic between processes. Control replicas serve RPC on the first, and entries
+    /// relayed requests.
     pub internal_ports: (u16, u16),
     /// Second sends that all entries together may make, per request.
     pub retry_ratio: f64,
@@ -55,6 +56,11 @@
         self.stop_time.0
     }
 
+    /// Listener for requests that other entries relay.
+    pub fn relay_listen(&self) -> SocketAddr {
+        SocketAddr::new(self.public_listen.ip(), self.internal_ports.0)
+    }
+
     /// RPC addresses of the control replicas that are known.
     pub fn control_rpc(&self) -> Vec<SocketAddr> {
         let port = self.internal_ports.0;
