Report cold starts that ended lately in the endpoint list

What callers saw: a cold endpoint got more requests in one second than it tolerates (FAILBACK), and may crash under them.

Cause: an entry that applied a list after the end of a cold start by that list saw an endpoint that had never been cold, so neither its rate limit nor the margin after the cold start applied. The remaining time was used up on the way (up to 2.8 s), was counted from the start of a reading that takes 0.7 s, or was missing because a later reading had replaced the list.

The remaining time now counts from the end of the reading, and a list reports a cold start for 2 s after its end, with a remaining time of 1 ms. An entry then applies its own margin, which is made for that. The messages are unchanged: an entry or replica of the build before reads the 1 ms as a cold endpoint.

Evidence: `cold_starts_that_ended_lately_are_reported` fails on (300 ms instead of 1 s remain; with the query of the test replaced, as `from_reading` is new). In `cold_time_is_adjusted_once_over_several_hops` the case "warm by then" expected the fault: a cold start that ended 0.3 s before the query was reported as none. It expects 1 ms now, and a new case checks that none is reported long after the end.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -94,7 +94,7 @@
         match result {
             Ok(listing) => {
                 interval = list_poll_interval(listing.calls, max_rate);
-                let list = EndpointList::new(listing.endpoints, started);
+                let list = EndpointList::from_reading(listing.endpoints, started, clock.now());
                 published.update_endpoint_list(list);
             }
             Err(e) => event!(Warn, "endpoint_list_unreadable", "reason" => e),
--- a/crates/control/src/published_state.rs
+++ b/crates/control/src/published_state.rs
@@ -67,11 +67,11 @@
     pub(crate) fn update_endpoint_list(&self, list: EndpointList) {
         let mut fleet = self.fleet();
         let known = fleet.endpoint_list().map(|l| l.digest);
-        if known != Some(list.digest) {
+        fleet.set_endpoint_list(list);
+        if let Some(list) = fleet.endpoint_list().filter(|l| known != Some(l.digest)) {
             event!(Info, "endpoint_list_changed", "endpoints" => list.endpoints.len(),
                 "digest" => format!("{:016x}", list.digest));
         }
-        fleet.set_endpoint_list(list);
     }
 
     /// Merges the fleet view of another replica. `asked_at` is a time before the request was sent.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -81,11 +81,15 @@
             .retain(|_, k| now.saturating_sub(k.announced_at) < ENTRY_RETENTION);
     }
 
-    /// Replaces the endpoint list unless the current one is as new or newer.
-    pub fn set_endpoint_list(&mut self, list: EndpointList) {
-        if (self.list.as_ref()).is_none_or(|known| known.read_at < list.read_at) {
-            self.list = Some(list);
+    /// Replaces the endpoint list unless the current one is as new or newer. Cold starts that ended
+    /// lately are kept, for entries that have not heard of them.
+    pub fn set_endpoint_list(&mut self, mut list: EndpointList) {
+        match &self.list {
+            Some(known) if known.read_at >= list.read_at => return,
+            Some(known) => list.inherit_cold_starts(known),
+            None => {}
         }
+        self.list = Some(list);
     }
 
     /// The endpoint list, if there is one.
--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -82,10 +82,17 @@
             expected_cold_ms: 1700,
         },
         Case {
-            name: "warm by then",
+            name: "ended on the way",
             cold_ms: 1000,
             pulled_ms: 600,
             queried_ms: 1300,
+            expected_cold_ms: 1,
+        },
+        Case {
+            name: "ended long before",
+            cold_ms: 1000,
+            pulled_ms: 600,
+            queried_ms: 3200,
             expected_cold_ms: 0,
         },
     ];
@@ -113,6 +120,77 @@
     }
 }
 
+/// Guards against entries that send the full load to an endpoint right after its cold start, because
+/// the remaining time was counted from the start of a slow reading or was used up on the way.
+#[test]
+fn cold_starts_that_ended_lately_are_reported() {
+    struct Case {
+        name: &'static str,
+        /// Remaining time of the cold start, and how long the reading took.
+        cold_ms: u64,
+        reading_ms: u64,
+        /// When a later reading no longer shows the cold start, if there is one.
+        reread_ms: Option<u64>,
+        queried_ms: u64,
+        expected_cold_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "the remaining time counts from the end of a reading",
+            cold_ms: 1500,
+            reading_ms: 700,
+            reread_ms: None,
+            queried_ms: 1200,
+            expected_cold_ms: 1000,
+        },
+        Case {
+            name: "the end is on the way",
+            cold_ms: 1500,
+            reading_ms: 700,
+            reread_ms: None,
+            queried_ms: 2700,
+            expected_cold_ms: 1,
+        },
+        Case {
+            name: "the next reading replaces the list before it is queried",
+            cold_ms: 1500,
+            reading_ms: 0,
+            reread_ms: Some(2100),
+            queried_ms: 2200,
+            expected_cold_ms: 1,
+        },
+        Case {
+            name: "long after the end",
+            cold_ms: 1500,
+            reading_ms: 0,
+            reread_ms: Some(3600),
+            queried_ms: 3700,
+            expected_cold_ms: 0,
+        },
+    ];
+    for case in cases {
+        let start = ms(10_000);
+        let mut fleet = Fleet::default();
+        let list = vec![endpoint("i-1", ms(case.cold_ms))];
+        let finished = start + ms(case.reading_ms);
+        fleet.set_endpoint_list(EndpointList::from_reading(list, start, finished));
+        if let Some(at) = case.reread_ms {
+            let list = vec![endpoint("i-1", Duration::ZERO)];
+            fleet.set_endpoint_list(EndpointList::new(list, start + ms(at)));
+        }
+        let reply = fleet.respond(start + ms(case.queried_ms), request(false), Vec::new());
+        let endpoints = reply
+            .endpoints(Duration::ZERO)
+            .expect("the reply contains a list");
+        assert_eq!(
+            endpoints[0].cold_for,
+            ms(case.expected_cold_ms),
+            "{}",
+            case.name
+        );
+    }
+}
+
 /// Guards against directing callers to dead, leaving or remote entries while better ones are live.
 #[test]
 fn callers_are_directed_to_live_entries_nearby() {
