Apply the reported end of a cold start only once

A list that reports the end of a cold start for 2 s would have made an entry that knew of it start its margin again with each list that arrives in that time, and clear what it knows of the endpoint's working set. Callers would have waited for a warm endpoint up to 2 s longer. Such a report now counts only for an entry that has not heard of the cold start (`the_reported_end_of_a_cold_start_counts_once`).

--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -15,6 +15,10 @@
 const EJECTION_TIME_RANGE: (Duration, Duration) =
     (Duration::from_millis(500), Duration::from_secs(4));
 
+/// Time after a cold start within which a list that reports its end tells nothing new. Longer than a
+/// list reports it.
+const KNOWN_COLD_START_TIME: Duration = Duration::from_secs(5);
+
 /// Weight of a new sample in the moving average of the failure ratio.
 const FAILURE_SAMPLE_WEIGHT: f64 = 0.15;
 
@@ -94,6 +98,11 @@
         (self.cold_until).is_some_and(|until| now < until + self.cold_margin)
     }
 
+    /// Whether this entry knows of a cold start that has not ended, or has ended lately.
+    pub(crate) fn was_cold_lately(&self, now: Duration) -> bool {
+        (self.cold_until).is_some_and(|until| now < until + KNOWN_COLD_START_TIME)
+    }
+
     /// Whether a request may be sent as far as failures are concerned. An endpoint that was ejected
     /// gets one request at a time; a non-idempotent one only after a health check, which is
     /// requested here.
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -49,7 +49,8 @@
             Some(e) if e.address == record.address && e.service == record.service => {
                 e.state = record.state;
                 e.slots = record.slots.max(1);
-                if !record.cold_for.is_zero() {
+                let is_news = !record.cold_start_has_ended() || !e.was_cold_lately(now);
+                if is_news && !record.cold_for.is_zero() {
                     e.mark_cold(now, record.cold_for);
                 }
             }
--- a/crates/dispatch/tests/choices/cold.rs
+++ b/crates/dispatch/tests/choices/cold.rs
@@ -222,3 +222,55 @@
     // 5 requests per second, with a tolerance of half of that and 5 more.
     assert!(sent <= 12, "{sent} requests in the first second");
 }
+
+/// Guards against a list that reports the end of a cold start and makes entries that knew of it treat
+/// the endpoint as cold once more, and against entries that did not know of it and ignore the report.
+#[test]
+fn the_reported_end_of_a_cold_start_counts_once() {
+    struct Case {
+        name: &'static str,
+        /// Whether this entry applied a list during the cold start.
+        knew: bool,
+        /// Whether the endpoint gets the full load 2.4 s after the end, and 1.5 s after the report.
+        warm_after_end: bool,
+    }
+    let cases = [
+        Case {
+            name: "known",
+            knew: true,
+            warm_after_end: true,
+        },
+        Case {
+            name: "not known",
+            knew: false,
+            warm_after_end: false,
+        },
+    ];
+    for case in cases {
+        let mut dispatcher = dispatcher(&[record(1, "a")]);
+        dispatcher.update_region_entries(NOW, 100);
+        let report = |cold_for| EndpointRecord {
+            cold_for,
+            ..record(1, "a")
+        };
+        if case.knew {
+            dispatcher.update_endpoints(NOW, &[report(ms(3_000))]);
+        }
+        let reported = NOW + ms(3_000) + ms(1_900);
+        dispatcher.update_endpoints(reported, &[report(ms(1))]);
+        let sent = |from: Duration, dispatcher: &mut Dispatcher| {
+            let sent = (0..10).filter(|n| {
+                let choice = dispatcher.choose(from + ms(*n), &request());
+                choice.is_ok_and(|c| {
+                    dispatcher.record_outcome(from + ms(*n), c.ticket, Outcome::Cancelled);
+                    true
+                })
+            });
+            sent.count()
+        };
+        let after_end = sent(NOW + ms(3_000 + 2_400), &mut dispatcher);
+        assert_eq!(after_end > 1, case.warm_after_end, "{}", case.name);
+        let later = sent(reported + ms(2_500), &mut dispatcher);
+        assert!(later > 1, "{}: {later} in the end", case.name);
+    }
+}
--- a/crates/fleet/src/endpoint_list.rs
+++ b/crates/fleet/src/endpoint_list.rs
@@ -1,4 +1,5 @@
 use crate::EndpointRecord;
+use crate::endpoint_record::ENDED_COLD_FOR;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,10 +10,6 @@
 /// can reach an entry after the end.
 const COLD_REPORT_TIME: Duration = Duration::from_secs(2);
 
-/// Reported remaining time of a cold start that has ended lately. It is not zero, so that an entry
-/// treats the endpoint as cold for its own margin.
-const ENDED_COLD_FOR: Duration = Duration::from_millis(1);
-
 /// A copy of the platform's list of endpoints.
 #[derive(Clone, Debug)]
 pub struct EndpointList {
--- a/crates/fleet/src/endpoint_record.rs
+++ b/crates/fleet/src/endpoint_record.rs
@@ -11,6 +11,10 @@
     Draining,
 }
 
+/// Reported remaining time of a cold start that has ended lately. It is not zero, so that an entry
+/// which has not heard of the cold start treats the endpoint as cold for its own margin.
+pub(crate) const ENDED_COLD_FOR: Duration = Duration::from_millis(1);
+
 /// An endpoint as listed by the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRecord {
@@ -29,3 +33,10 @@
     /// Remaining time for which the endpoint is cold, as of the query or the sending of the record.
     pub cold_for: Duration,
 }
+
+impl EndpointRecord {
+    /// Whether the record reports a cold start that has ended lately.
+    pub fn cold_start_has_ended(&self) -> bool {
+        self.cold_for == ENDED_COLD_FOR
+    }
+}
