Check whether an endpoint is cold before it gets its load back

Cause: entries took an endpoint for warm unless the list or a failed attempt to connect said otherwise. After an outage that all entries had seen, each of them sent a caller's request as a probe as soon as its own ejection ended, up to one per entry in the first second. An endpoint that restarted between two requests was not noticed at all: connections that it closed or reset did not count. The remaining cold time in its responses to health checks was not read. The list tells 2 to 3 s later.

An entry now suspects a restart when an endpoint is ejected as unreachable, closes a connection before its response, or has closed its idle connections early. Until a health check tells how long the endpoint stays cold, it gets no more than a cold one: the entry's share of the cold rate, from entries of its region only, the first request at a random time of the interval. The check makes the wait short for an endpoint that only lost its connections; one that says nothing of a cold start is treated as before. A check that reports an endpoint as unhealthy no longer ejects it unless requests failed there.

Why it works: what may be cold is treated as cold by every entry without any message between them, and the endpoint itself resolves the doubt within one health check.

The calls of `record_health_check` in tests follow its new parameter; what they check is unchanged.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -41,6 +41,15 @@
         })
     }
 
+    /// Whether the peer has closed the connection.
+    pub fn is_closed_by_peer(&self) -> bool {
+        let mut byte = [MaybeUninit::<u8>::uninit(); 1];
+        match SockRef::from(&self.stream).peek(&mut byte) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Whether the peer has neither closed the connection nor sent unsolicited bytes, such as the
     /// rest of a late response.
     pub fn is_reusable(&self) -> bool {
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -1,4 +1,4 @@
-use crate::{Connection, Lease};
+use crate::{Connection, Lease, PoolLookup};
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,17 +33,39 @@
         now: Duration,
         validated_after: Duration,
     ) -> Option<Lease<T>> {
-        loop {
-            let connection = {
-                let mut idle = self.lock();
-                let list = idle.get_mut(&target)?;
-                list.pop_if(|c| c.validated_at >= validated_after)?
-            };
-            if connection.is_reusable() && connection.expires_at.is_none_or(|until| now < until) {
-                return Some(Lease::from_idle(Arc::clone(self), target, connection));
+        self.find(target, now, validated_after).lease
+    }
+
+    /// Like [`Pool::acquire`], but also tells whether the peer closed a connection.
+    pub fn find(
+        self: &Arc<Self>,
+        target: T,
+        now: Duration,
+        validated_after: Duration,
+    ) -> PoolLookup<T> {
+        let mut closed_by_peer = false;
+        while let Some(connection) = self.pop_idle(target, validated_after) {
+            let expired = connection.expires_at.is_some_and(|until| now >= until);
+            if connection.is_reusable() && !expired {
+                let lease = Lease::from_idle(Arc::clone(self), target, connection);
+                return PoolLookup {
+                    lease: Some(lease),
+                    closed_by_peer,
+                };
             }
+            closed_by_peer |= !expired && connection.is_closed_by_peer();
             self.close(target, connection);
         }
+        PoolLookup {
+            lease: None,
+            closed_by_peer,
+        }
+    }
+
+    fn pop_idle(&self, target: T, validated_after: Duration) -> Option<Connection> {
+        let mut idle = self.lock();
+        let list = idle.get_mut(&target)?;
+        list.pop_if(|c| c.validated_at >= validated_after)
     }
 
     /// Acquires the connection whose last validation is the oldest, to check or close it.
--- a/crates/dispatch/src/cold_rate_limiter.rs
+++ b/crates/dispatch/src/cold_rate_limiter.rs
@@ -18,6 +18,11 @@
         now >= next_send
     }
 
+    /// Delays the first request until `first_send_at`.
+    pub(crate) fn start(&mut self, first_send_at: Duration) {
+        self.next_send = Some(first_send_at);
+    }
+
     /// Records a sent request.
     pub(crate) fn record_send(&mut self, now: Duration, interval: Duration) {
         self.next_send = Some(now + interval);
--- a/crates/dispatch/src/dispatcher/check_health.rs
+++ b/crates/dispatch/src/dispatcher/check_health.rs
@@ -1,6 +1,7 @@
 use super::Dispatcher;
+use super::update::DEFAULT_COLD_START;
 use crate::health_check::HealthCheckState;
-use crate::{EndpointKey, HealthCheck};
+use crate::{EndpointKey, HealthCheck, HealthReport};
 use std::time::Duration;
 
 impl Dispatcher {
@@ -30,14 +31,31 @@
     }
 
     /// Records the result of a health check. A failed check ejects the endpoint again, unless a
-    /// request had a result there in the meantime.
-    pub fn record_health_check(&mut self, now: Duration, endpoint: EndpointKey, passed: bool) {
-        match self.endpoints.get_mut(&endpoint) {
-            Some(e) if e.health_check == HealthCheckState::Running && passed => {
-                e.health_check = HealthCheckState::Passed;
-            }
-            Some(e) if e.health_check == HealthCheckState::Running => e.record_failure(now, 1),
-            _ => {}
+    /// request had a result there in the meantime. An endpoint that was not ejected stays in use even
+    /// if it reports that it is not healthy, because requests are the better evidence.
+    pub fn record_health_check(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointKey,
+        report: HealthReport,
+    ) {
+        let Some(e) = self.endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        if e.health_check != HealthCheckState::Running {
+            return;
+        }
+        let HealthReport::Answered { healthy, cold_for } = report else {
+            e.record_failure(now, 1);
+            return;
+        };
+        let service = self.routes.services.get(&e.service);
+        let cold_start = service.map_or(DEFAULT_COLD_START, |s| s.cold_start);
+        e.record_restart_check(now, cold_for, cold_start);
+        match e.needs_probe() {
+            false => e.health_check = HealthCheckState::NotNeeded,
+            true if healthy => e.health_check = HealthCheckState::Passed,
+            true => e.record_failure(now, 1),
         }
     }
 }
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -213,7 +213,8 @@
         let in_own_region = region == self.settings.region();
         let homes = request.home_regions;
         let in_home_region = homes.is_empty() || homes.iter().any(|h| h == region);
-        match e.is_cold(now) {
+        let limited = e.may_have_restarted() || e.is_cold(now);
+        match limited {
             _ if !in_home_region || !e.is_usable(now, &self.evacuated) => false,
             _ if !e.may_send(request.idempotent) => false,
             false => true,
@@ -224,7 +225,7 @@
         }
     }
 
-    fn cold_interval(&self, service: &str) -> Duration {
+    pub(super) fn cold_interval(&self, service: &str) -> Duration {
         let rate = self
             .routes
             .services
@@ -325,7 +326,7 @@
     ) -> Option<Choice> {
         let cold_interval = self.cold_interval(request.service);
         let e = self.endpoints.get_mut(&candidate.key)?;
-        let cold = e.is_cold(now);
+        let cold = e.is_cold(now) || e.may_have_restarted();
         match cold {
             true => e.cold_limiter.record_send(now, cold_interval),
             false => e.cold_limiter.reset(),
--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -48,6 +48,9 @@
     ejected_until: Duration,
     /// Whether a connection attempt failed since the last successful response.
     unreachable: bool,
+    /// Whether a connection was lost since a health check or a cold start last told whether the
+    /// endpoint is cold.
+    restart_suspected: bool,
     pub(crate) health_check: HealthCheckState,
 }
 
@@ -74,6 +77,7 @@
             consecutive_failures: 0,
             ejected_until: Duration::ZERO,
             unreachable: false,
+            restart_suspected: false,
             health_check: HealthCheckState::default(),
         };
         if !record.cold_for.is_zero() {
@@ -133,14 +137,56 @@
         self.health_check = HealthCheckState::NotNeeded;
         self.failure_ratio -= FAILURE_SAMPLE_WEIGHT * self.failure_ratio;
         if std::mem::take(&mut self.unreachable) {
+            self.restart_suspected = false;
             self.mark_cold(now, cold_start);
         }
     }
 
     /// Records a failure to open a connection.
-    pub(crate) fn record_unreachable(&mut self, now: Duration) {
+    pub(crate) fn record_unreachable(&mut self, now: Duration, first_send_at: Duration) {
         self.unreachable = true;
         self.record_failure(now, 1);
+        // A single failure may be that of the network; the next success marks the endpoint as cold.
+        if self.needs_probe() {
+            self.suspect_restart(now, first_send_at);
+        }
+    }
+
+    /// Records that a connection was lost. Until it is known whether the endpoint restarted, it gets
+    /// no more requests than a cold one, the first of them at `first_send_at`.
+    pub(crate) fn suspect_restart(&mut self, now: Duration, first_send_at: Duration) {
+        self.restart_suspected = true;
+        if !self.is_cold(now) {
+            self.cold_limiter.start(first_send_at);
+        }
+    }
+
+    /// Whether the endpoint may have restarted, in which case a health check is requested here.
+    pub(crate) fn may_have_restarted(&mut self) -> bool {
+        if self.restart_suspected && self.health_check == HealthCheckState::NotNeeded {
+            self.health_check = HealthCheckState::Wanted;
+        }
+        self.restart_suspected
+    }
+
+    /// Records how long the endpoint stays cold according to its response to a health check. Without
+    /// that information, an endpoint that was unreachable counts as cold for `cold_start`.
+    pub(crate) fn record_restart_check(
+        &mut self,
+        now: Duration,
+        cold_for: Option<Duration>,
+        cold_start: Duration,
+    ) {
+        let was_unreachable = std::mem::take(&mut self.unreachable);
+        self.restart_suspected = false;
+        let cold_for = match cold_for {
+            Some(cold_for) => cold_for,
+            None if was_unreachable => cold_start,
+            None => Duration::ZERO,
+        };
+        if !cold_for.is_zero() {
+            self.mark_cold(now, cold_for);
+        }
     }
 
     /// Records a failure that counts as `count` consecutive failures.
--- a/crates/dispatch/src/dispatcher/record_outcome.rs
+++ b/crates/dispatch/src/dispatcher/record_outcome.rs
@@ -1,6 +1,7 @@
 use super::Dispatcher;
 use super::update::DEFAULT_COLD_START;
 use crate::{LoadReading, Outcome, SendTicket};
+use rand::Rng;
 use std::time::Duration;
 
 /// Number of consecutive failures that a timeout counts as.
@@ -10,6 +11,12 @@
     /// Records the outcome of a request dispatched by [`Dispatcher::choose`]. Does nothing if the
     /// endpoint has been removed in the meantime.
     pub fn record_outcome(&mut self, now: Duration, ticket: SendTicket, outcome: Outcome) {
+        let Some(e) = self.endpoints.get(&ticket.endpoint) else {
+            return;
+        };
+        // Entries that lost their connections at the same time do not return at the same time.
+        let interval = self.cold_interval(&e.service);
+        let first_send_at = now + interval.mul_f64(self.rng.random_range(0.0..1.0));
         let Some(e) = self.endpoints.get_mut(&ticket.endpoint) else {
             return;
         };
@@ -45,8 +52,13 @@
                 record_load(e, now, load);
             }
             Outcome::Misdirected => e.address_reassigned = true,
-            Outcome::Unreachable => e.record_unreachable(now),
+            Outcome::Unreachable => e.record_unreachable(now, first_send_at),
             Outcome::Failed => e.record_failure(now, 1),
+            Outcome::Disconnected => {
+                e.suspect_restart(now, first_send_at);
+                e.record_failure(now, 1);
+            }
+            Outcome::ClosedWhileIdle => e.suspect_restart(now, first_send_at),
             Outcome::TimedOut => e.record_failure(now, TIMEOUT_FAILURES),
             Outcome::Cancelled => {}
         }
--- a/crates/dispatch/src/health_check.rs
+++ b/crates/dispatch/src/health_check.rs
@@ -1,13 +1,14 @@
 use crate::EndpointKey;
 use std::net::SocketAddr;
+use std::time::Duration;
 
-/// State of the health check of an endpoint that was ejected.
+/// State of the health check of an endpoint that was ejected or may have restarted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum HealthCheckState {
     /// No request depends on a health check.
     #[default]
     NotNeeded,
-    /// A non-idempotent request could have used the endpoint.
+    /// A request could have used the endpoint.
     Wanted,
     /// The check was sent.
     Running,
@@ -28,3 +29,17 @@
     /// Path of the health check.
     pub path: String,
 }
+
+/// Result of a health check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthReport {
+    /// The expected instance responded.
+    Answered {
+        /// Whether it considers itself healthy.
+        healthy: bool,
+        /// How long it stays cold, if it tells that.
+        cold_for: Option<Duration>,
+    },
+    /// There was no response, or that of another instance.
+    Unanswered,
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -39,7 +39,7 @@
 
 pub use dispatcher::Dispatcher;
 pub use endpoint_key::EndpointKey;
-pub use health_check::HealthCheck;
+pub use health_check::{HealthCheck, HealthReport};
 pub use load_estimate::LoadReading;
 pub use outcome::Outcome;
 pub use path_monitor::{PathChange, PathMonitor, ProbeRound};
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -25,8 +25,12 @@
     Misdirected,
     /// No connection could be opened. Nothing was sent.
     Unreachable,
-    /// The connection failed after the request was sent.
+    /// The response is not valid or incomplete.
     Failed,
+    /// The connection was closed before the response. The endpoint may have restarted.
+    Disconnected,
+    /// The idle connections were closed by the endpoint, which may have restarted. Nothing was sent.
+    ClosedWhileIdle,
     /// The endpoint did not respond in time.
     TimedOut,
     /// The attempt was cancelled, for example because the caller disconnected.
--- a/crates/dispatch/tests/choices/health_checks.rs
+++ b/crates/dispatch/tests/choices/health_checks.rs
@@ -1,7 +1,7 @@
 //! Health checks of endpoints that were ejected.
 
 use crate::support::{NOW, dispatcher, ms, record, request};
-use mangospindle_dispatch::{Dispatcher, Outcome, Request};
+use mangospindle_dispatch::{Dispatcher, HealthReport, Outcome, Request};
 use std::time::Duration;
 
 fn order() -> Request<'static> {
@@ -11,6 +11,13 @@
     }
 }
 
+fn report(healthy: bool) -> HealthReport {
+    HealthReport::Answered {
+        healthy,
+        cold_for: None,
+    }
+}
+
 /// Sends an order, which fails.
 fn fail_order(dispatcher: &mut Dispatcher, now: Duration) {
     let choice = dispatcher.choose(now, &order()).unwrap();
@@ -47,7 +54,7 @@
         assert_eq!(checks[0].path, "/health");
         assert!(dispatcher.choose(later, &order()).is_err());
         assert!(dispatcher.take_health_checks(later).is_empty());
-        dispatcher.record_health_check(later, checks[0].endpoint, case.passed);
+        dispatcher.record_health_check(later, checks[0].endpoint, report(case.passed));
         let sent = dispatcher.choose(later, &order());
         assert_eq!(sent.is_ok(), case.passed, "{}", case.name);
         // Only one order at a time is sent as a probe.
@@ -74,7 +81,7 @@
     let checks = dispatcher.take_health_checks(later);
     let probe = dispatcher.choose(later, &request()).unwrap();
     dispatcher.record_outcome(later, probe.ticket, Outcome::TimedOut);
-    dispatcher.record_health_check(later, checks[0].endpoint, true);
+    dispatcher.record_health_check(later, checks[0].endpoint, report(true));
     let after_ejection = later + ms(5_000);
     assert!(dispatcher.choose(after_ejection, &order()).is_err());
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to an endpoint.
 
-use crate::connect::connect;
+use crate::connect::{ConnectError, connect};
 use crate::connection_target::ConnectionTarget;
 use crate::gateway::Gateway;
 use crate::inbound_request::InboundRequest;
@@ -84,8 +84,11 @@
     let lease = match connect(gateway, endpoint, address, context.idempotent, remaining).await {
         Ok(lease) => lease,
         Err(e) => {
-            log::debug!("failed to connect to {}: {e}", choice.address);
-            guard.finish(Outcome::Unreachable);
+            log::debug!("no connection to {}: {e}", choice.address);
+            guard.finish(match e {
+                ConnectError::ClosedWhileIdle => Outcome::ClosedWhileIdle,
+                ConnectError::Unreachable(_) => Outcome::Unreachable,
+            });
             return AttemptResult::Unreachable;
         }
     };
@@ -105,7 +108,10 @@
             AttemptResult::Unreachable
         }
         Ok(Err(e)) => {
-            guard.finish(Outcome::Failed);
+            guard.finish(match e {
+                ExchangeError::Closed => Outcome::Disconnected,
+                _ => Outcome::Failed,
+            });
             AttemptResult::Failed(e)
         }
         Err(_) => {
@@ -199,7 +205,7 @@
 }
 
 /// Reads the rest of a short response, so that its connection can be reused.
-async fn drain_body(mut exchange: Exchange<ConnectionTarget>) {
+pub(crate) async fn drain_body(mut exchange: Exchange<ConnectionTarget>) {
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
     let read_rest =
         async { while let Some(Ok(_)) = poll_fn(|cx| exchange.poll_chunk(cx)).await {} };
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -2,7 +2,7 @@
 
 use crate::connection_target::ConnectionTarget;
 use crate::gateway::Gateway;
-use mangospindle_client::{Connection, Lease};
+use mangospindle_client::{Connection, Lease, PoolLookup};
 use mangospindle_dispatch::EndpointKey;
 use std::io;
 use std::net::SocketAddr;
@@ -17,7 +17,18 @@
 /// not idempotent. A connection can stop delivering data for good while new ones work.
 const MAX_VALIDATION_AGE: Duration = Duration::from_secs(3);
 
-/// Returns a connection from the pool, or opens one. No byte of the request has been sent if this
+/// Reason why there is no connection to an endpoint.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ConnectError {
+    /// The endpoint closed its idle connections, so it may have restarted.
+    #[error("the idle connections were closed")]
+    ClosedWhileIdle,
+    /// No connection could be opened.
+    #[error(transparent)]
+    Unreachable(#[from] io::Error),
+}
+
+/// Returns a connection from the pool, or opens one if none was pooled. No byte of the request has been sent if this
 /// fails.
 pub(crate) async fn connect(
     gateway: &Gateway,
@@ -25,16 +36,22 @@
     address: SocketAddr,
     idempotent: bool,
     time_left: Duration,
-) -> io::Result<Lease<ConnectionTarget>> {
+) -> Result<Lease<ConnectionTarget>, ConnectError> {
     let now = gateway.now();
     let validated_after = match idempotent {
         true => Duration::ZERO,
         false => now.saturating_sub(MAX_VALIDATION_AGE),
     };
     let target = ConnectionTarget::Endpoint(endpoint);
-    match gateway.pool.acquire(target, now, validated_after) {
-        Some(lease) => Ok(lease),
-        None => open(gateway, endpoint, address, time_left).await,
+    match gateway.pool.find(target, now, validated_after) {
+        PoolLookup {
+            lease: Some(lease), ..
+        } => Ok(lease),
+        PoolLookup {
+            closed_by_peer: true,
+            ..
+        } => Err(ConnectError::ClosedWhileIdle),
+        PoolLookup { .. } => Ok(open(gateway, endpoint, address, time_left).await?),
     }
 }
 
--- a/crates/gateway/src/control_sync.rs
+++ b/crates/gateway/src/control_sync.rs
@@ -99,7 +99,7 @@
     });
     for e in endpoints.iter().flatten().filter(|e| !e.cold_for.is_zero()) {
         event!(Debug, "endpoint_cold", "endpoint" => e.instance,
-            "cold_ms" => e.cold_for.as_millis());
+            "cold_ms" => e.cold_for.as_millis(), "source" => "list");
     }
     if let Some(list) = endpoints {
         *known_list = reply.list_digest;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -167,7 +167,7 @@
         };
         event!(Debug, "request_sent", "request" => context.id, "endpoint" => choice.instance,
             "service" => service, "expected_ms" => choice.expected_latency.as_millis(),
-            "remote" => choice.remote, "sends" => history.sends);
+            "remote" => choice.remote, "cold" => choice.cold, "sends" => history.sends);
         (gateway.metrics).count_send(service, &choice, history.sends > 0);
         let sent_at = gateway.now();
         gateway.in_progress.update(context.progress, |p| {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,8 +9,8 @@
 use crate::{control_sync, drain, health_checks, path_probes};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
-    Choice, Dispatcher, EndpointKey, HealthCheck, Outcome, PathMonitor, Refusal, Request,
-    SendTicket, StopSchedule, WeightedRoundRobin,
+    Choice, Dispatcher, EndpointKey, HealthCheck, HealthReport, Outcome, PathMonitor, Refusal,
+    Request, SendTicket, StopSchedule, WeightedRoundRobin,
 };
 use mangospindle_fleet::RelayPeers;
 use mangospindle_model::{Clock, Route, RouteKey, RouteTable};
@@ -231,10 +231,10 @@
     }
 
     /// Records the result of a health check.
-    pub(crate) fn record_health_check(&self, endpoint: EndpointKey, passed: bool) {
+    pub(crate) fn record_health_check(&self, endpoint: EndpointKey, report: HealthReport) {
         let now = self.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
-        dispatcher.record_health_check(now, endpoint, passed);
+        dispatcher.record_health_check(now, endpoint, report);
     }
 
     /// Index of the target for the next request of a route, according to the target weights.
--- a/crates/gateway/src/health_checks.rs
+++ b/crates/gateway/src/health_checks.rs
@@ -1,11 +1,15 @@
-//! Health checks of ejected endpoints, so that a service without idempotent requests recovers.
+//! Health checks of ejected endpoints, so that a service without idempotent requests recovers, and of
+//! endpoints that may have restarted, to learn whether they are cold.
 
-use crate::connect::connect;
+use crate::attempt::drain_body;
+use crate::connect::{ConnectError, connect, open};
+use crate::connection_target::ConnectionTarget;
 use crate::gateway::Gateway;
 use actix_web::http::header::HeaderMap;
 use actix_web::http::{Method, StatusCode};
-use mangospindle_client::{BodyFraming, Exchange, RequestHead, RequestWriter};
-use mangospindle_dispatch::HealthCheck;
+use mangospindle_client::{BodyFraming, Exchange, Lease, RequestHead, RequestWriter};
+use mangospindle_dispatch::{HealthCheck, HealthReport};
+use mangospindle_telemetry::event;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,20 +26,31 @@
         for check in gateway.take_health_checks() {
             let gateway = Rc::clone(&gateway);
             tokio::task::spawn_local(async move {
-                let passes = tokio::time::timeout(CHECK_TIMEOUT, passes(&gateway, &check));
-                let passed = passes.await.unwrap_or(false);
-                log::debug!("health check of {}: {passed}", check.instance);
-                gateway.record_health_check(check.endpoint, passed);
+                let checking = tokio::time::timeout(CHECK_TIMEOUT, check_health(&gateway, &check));
+                let report = checking.await.unwrap_or(HealthReport::Unanswered);
+                log_report(&check, report);
+                gateway.record_health_check(check.endpoint, report);
             });
         }
     }
 }
 
-/// Sends a health check. Returns whether the expected instance reports that it is healthy.
-async fn passes(gateway: &Gateway, check: &HealthCheck) -> bool {
-    let connected = connect(gateway, check.endpoint, check.address, false, CHECK_TIMEOUT);
-    let Ok(lease) = connected.await else {
-        return false;
+fn log_report(check: &HealthCheck, report: HealthReport) {
+    log::debug!("health check of {}: {report:?}", check.instance);
+    match report {
+        HealthReport::Answered {
+            cold_for: Some(cold_for),
+            ..
+        } if !cold_for.is_zero() => event!(Debug, "endpoint_cold", "endpoint" => check.instance,
+            "cold_ms" => cold_for.as_millis(), "source" => "health_check"),
+        _ => {}
+    }
+}
+
+/// Sends a health check and returns what the expected instance reports.
+async fn check_health(gateway: &Gateway, check: &HealthCheck) -> HealthReport {
+    let Ok(lease) = lease(gateway, check).await else {
+        return HealthReport::Unanswered;
     };
     let mut headers = HeaderMap::new();
     (gateway.protocol).set_request_headers(&mut headers, &check.instance, CHECK_TIMEOUT);
@@ -46,9 +61,33 @@
     };
     let host = check.address.to_string();
     let Ok(writer) = RequestWriter::new(head, &host, BodyFraming::None, None) else {
-        return false;
+        return HealthReport::Unanswered;
     };
     let mut exchange = Exchange::new(lease, Method::GET, writer);
-    let head = exchange.send_request(&*gateway.clock).await;
-    matches!(head, Ok(head) if head.status == StatusCode::OK)
+    let Ok(head) = exchange.send_request(&*gateway.clock).await else {
+        return HealthReport::Unanswered;
+    };
+    (gateway.paths.borrow_mut()).record_response(gateway.now());
+    drain_body(exchange).await;
+    match gateway.protocol.response_metadata(&head).misdirected {
+        true => HealthReport::Unanswered,
+        false => HealthReport::Answered {
+            healthy: head.status == StatusCode::OK,
+            cold_for: gateway.protocol.health_cold_for(&head),
+        },
+    }
+}
+
+/// Returns a connection for a health check, a new one if the pooled ones were closed.
+async fn lease(
+    gateway: &Gateway,
+    check: &HealthCheck,
+) -> Result<Lease<ConnectionTarget>, ConnectError> {
+    let pooled = connect(gateway, check.endpoint, check.address, false, CHECK_TIMEOUT).await;
+    match pooled {
+        Err(ConnectError::ClosedWhileIdle) => {
+            Ok(open(gateway, check.endpoint, check.address, CHECK_TIMEOUT).await?)
+        }
+        pooled => pooled,
+    }
 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -36,6 +36,9 @@
     /// Sets the header that tells the entry to which a request is relayed how much time is left.
     fn set_time_left(&self, headers: &mut HeaderMap, time_left: Duration);
 
+    /// How long an endpoint stays cold according to its response to a health check, if it tells that.
+    fn health_cold_for(&self, head: &ResponseHead) -> Option<Duration>;
+
     /// Parses the head of an endpoint's response.
     fn response_metadata(&self, head: &ResponseHead) -> ResponseMetadata;
 }
