Keep to the rate limit that an endpoint names

Its requests are slow or fail, and the endpoint does not recover.

Cause: the adapter read the load of a response and nothing of `Server-Limit`, and the dispatcher had no limit that endpoints set themselves.

The dispatcher now records the limit of each response, also of an error or a rejection, and lifts it with the first response without one. Entries divide it as they divide the rate of cold endpoints, by counts and without messages: those of the endpoint's region use 0.8 of it, the others together 0.2, which is enough for them to notice when the limit is lifted. The first request under a limit is sent at a random time of the entry's interval. Other requests go to other endpoints, or are refused at once.

`named_rate_limits_are_shared_by_all_entries` checks 6 to 56 entries and limits of 0 to 20 a second: within the limit, and at least 0.7 of it used. Each change is logged as `endpoint_notices_changed`.

The rate limiter of cold endpoints is renamed, as it serves both.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 mod choose;
 mod endpoint;
 mod probe_targets;
+mod record_notices;
 mod record_outcome;
 mod service;
 mod update;
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -1,6 +1,6 @@
 use super::Dispatcher;
 use super::endpoint::Endpoint;
-use crate::cold_rate_limiter::send_interval;
+use crate::entry_rate_limiter::send_interval;
 use crate::region_shares::RegionLoad;
 use crate::{Choice, EndpointKey, Refusal, RefusalReason, Request, SendTicket};
 use mangospindle_model::rendezvous_score;
@@ -42,6 +42,18 @@
 /// that are partitioned from the control replicas may not know that the endpoint is cold.
 const COLD_RATE_FRACTION: f64 = 0.6;
 
+/// Longest interval between the requests of one entry to a cold endpoint. With a longer one, an
+/// endpoint would receive no request at all during its cold start.
+const MAX_COLD_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Fraction of the rate limit that an endpoint names which the entries of its region use. The others
+/// use the rest: they send it few requests, but must notice when the limit is lifted.
+const LOCAL_LIMIT_FRACTION: f64 = 0.8;
+
+/// Longest interval between the requests of one entry to an endpoint that names a rate limit. The
+/// entry learns only from a response that the limit is lifted.
+const MAX_LIMITED_INTERVAL: Duration = Duration::from_secs(120);
+
 /// Extra cost of an endpoint whose slots are all in use but whose queue is empty, relative to an
 /// idle one.
 const BUSY_COST_FRACTION: f64 = 0.15;
@@ -216,6 +228,7 @@
         let limited = e.may_have_restarted() || e.is_cold(now);
         match limited {
             _ if !in_home_region || !e.is_usable(now, &self.evacuated) => false,
+            _ if !e.rate_limit_allows(now) => false,
             _ if !e.may_send(request.idempotent) => false,
             false => true,
             true => {
@@ -231,7 +244,24 @@
             .services
             .get(service)
             .map_or(0.0, |s| s.cold_rate);
-        send_interval(rate * COLD_RATE_FRACTION, self.region_entries.0)
+        send_interval(
+            rate * COLD_RATE_FRACTION,
+            self.region_entries.0,
+            MAX_COLD_INTERVAL,
+        )
+    }
+
+    /// Interval between the requests of this entry to an endpoint that takes `rate` requests per second
+    /// from all entries together.
+    pub(super) fn limited_interval(&self, e: &Endpoint, rate: f64) -> Duration {
+        let local = self.settings.region_of(&e.failure_domain) == self.settings.region();
+        let region_entries = self.region_entries.0;
+        let other_regions = self.settings.region_count().saturating_sub(1) as u32;
+        let (fraction, entries) = match local {
+            true => (LOCAL_LIMIT_FRACTION, region_entries),
+            false => (1.0 - LOCAL_LIMIT_FRACTION, region_entries * other_regions),
+        };
+        send_interval(rate * fraction, entries, MAX_LIMITED_INTERVAL)
     }
 
     /// Returns the endpoint with the lowest cost in a region, or in all regions.
@@ -325,7 +355,12 @@
         candidate: &Candidate,
     ) -> Option<Choice> {
         let cold_interval = self.cold_interval(request.service);
+        let e = self.endpoints.get(&candidate.key)?;
+        let limited_interval = e.rate_limit().map(|rate| self.limited_interval(e, rate));
         let e = self.endpoints.get_mut(&candidate.key)?;
+        if let Some(interval) = limited_interval {
+            e.rate_limiter.record_send(now, interval);
+        }
         let cold = e.is_cold(now) || e.may_have_restarted();
         match cold {
             true => e.cold_limiter.record_send(now, cold_interval),
--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -1,4 +1,4 @@
-use crate::cold_rate_limiter::ColdRateLimiter;
+use crate::entry_rate_limiter::EntryRateLimiter;
 use crate::health_check::HealthCheckState;
 use crate::load_estimate::LoadEstimate;
 use crate::working_set::WorkingSet;
@@ -38,7 +38,11 @@
     /// Time after the end of a cold start during which this entry still treats the endpoint as
     /// cold.
     cold_margin: Duration,
-    pub(crate) cold_limiter: ColdRateLimiter,
+    pub(crate) cold_limiter: EntryRateLimiter,
+    /// Requests per second that the endpoint takes from all entries together, if its latest response
+    /// named a limit.
+    rate_limit: Option<f64>,
+    pub(crate) rate_limiter: EntryRateLimiter,
     pub(crate) load: LoadEstimate,
     pub(crate) working_set: WorkingSet,
     /// Moving average of the fraction of requests that failed, or were rejected although the
@@ -70,7 +74,9 @@
             address_reassigned: false,
             cold_until: None,
             cold_margin,
-            cold_limiter: ColdRateLimiter::default(),
+            cold_limiter: EntryRateLimiter::default(),
+            rate_limit: None,
+            rate_limiter: EntryRateLimiter::default(),
             load: LoadEstimate::default(),
             working_set: WorkingSet::default(),
             failure_ratio: 0.0,
@@ -161,6 +167,26 @@
         }
     }
 
+    /// The rate limit that the endpoint named, in requests per second.
+    pub(crate) fn rate_limit(&self) -> Option<f64> {
+        self.rate_limit
+    }
+
+    /// Sets or lifts the rate limit. The first request under a new limit is sent at `first_send_at`.
+    pub(crate) fn set_rate_limit(&mut self, rate: Option<f64>, first_send_at: Duration) {
+        match (self.rate_limit, rate) {
+            (None, Some(_)) => self.rate_limiter.start(first_send_at),
+            (Some(_), None) => self.rate_limiter.reset(),
+            (None, None) | (Some(_), Some(_)) => {}
+        }
+        self.rate_limit = rate;
+    }
+
+    /// Whether the rate limit that the endpoint named allows a request now.
+    pub(crate) fn rate_limit_allows(&mut self, now: Duration) -> bool {
+        self.rate_limit.is_none() || self.rate_limiter.allows(now, Duration::ZERO, 0.0)
+    }
+
     /// Whether the endpoint may have restarted, in which case a health check is requested here.
     pub(crate) fn may_have_restarted(&mut self) -> bool {
         if self.restart_suspected && self.health_check == HealthCheckState::NotNeeded {
--- /dev/null
+++ b/crates/dispatch/src/endpoint_notices.rs
@@ -0,0 +1,7 @@
+/// What an endpoint says in a response about the requests that it wants.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EndpointNotices {
+    /// Requests per second that the endpoint takes from all entries together, for as long as its
+    /// responses say so.
+    pub rate_limit: Option<f64>,
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,15 +14,18 @@
 //!   failure domain.
 //! - The entries of a cold endpoint's region together send it requests at no more than its
 //!   service's cold rate. Entries of other regions send it none.
+//! - The entries that know of an endpoint's rate limit together send it requests at no more than that
+//!   rate.
 //! - The share of requests that is sent to other regions changes by at most [`MAX_SHARE_STEP`] in
 //!   each [`SHARE_UPDATE_INTERVAL`], unless a region has no usable endpoint.
 //! - Retries and hedged requests are limited by a retry budget.
 //!
 //! [`Duration`]: std::time::Duration
 
-mod cold_rate_limiter;
 mod dispatcher;
 mod endpoint_key;
+mod endpoint_notices;
+mod entry_rate_limiter;
 mod health_check;
 mod load_estimate;
 mod outcome;
@@ -39,6 +42,7 @@
 
 pub use dispatcher::Dispatcher;
 pub use endpoint_key::EndpointKey;
+pub use endpoint_notices::EndpointNotices;
 pub use health_check::{HealthCheck, HealthReport};
 pub use load_estimate::LoadReading;
 pub use outcome::Outcome;
--- a/crates/dispatch/tests/choices/main.rs
+++ b/crates/dispatch/tests/choices/main.rs
@@ -4,6 +4,7 @@
 
 mod cold;
 mod health_checks;
+mod notices;
 mod stops;
 mod support;
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -102,7 +102,7 @@
         .accept_close_delimited();
     let head = exchange.send_request(&*gateway.clock);
     match tokio::time::timeout(remaining, head).await {
-        Ok(Ok(head)) => handle_response(gateway, context, head, exchange, guard).await,
+        Ok(Ok(head)) => handle_response(gateway, context, choice, head, exchange, guard).await,
         Ok(Err(_)) if !exchange.has_started() => {
             guard.finish(Outcome::Unreachable);
             AttemptResult::Unreachable
@@ -173,6 +173,7 @@
 async fn handle_response(
     gateway: &Gateway,
     context: &AttemptContext<'_>,
+    choice: &Choice,
     head: ResponseHead,
     exchange: Exchange<ConnectionTarget>,
     mut guard: SendGuard,
@@ -183,6 +184,7 @@
         guard.finish(Outcome::Misdirected);
         return AttemptResult::Rejected;
     }
+    gateway.record_notices(choice, metadata.notices);
     if metadata.not_run {
         drain_body(exchange).await;
         guard.finish(Outcome::Rejected {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,8 +9,8 @@
 use crate::{control_sync, drain, health_checks, path_probes};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
-    Choice, Dispatcher, EndpointKey, HealthCheck, HealthReport, Outcome, PathMonitor, Refusal,
-    Request, SendTicket, StopSchedule, WeightedRoundRobin,
+    Choice, Dispatcher, EndpointKey, EndpointNotices, HealthCheck, HealthReport, Outcome,
+    PathMonitor, Refusal, Request, SendTicket, StopSchedule, WeightedRoundRobin,
 };
 use mangospindle_fleet::RelayPeers;
 use mangospindle_model::{Clock, Route, RouteKey, RouteTable};
@@ -224,6 +224,16 @@
         dispatcher.record_outcome(now, ticket, outcome);
     }
 
+    /// Records what an endpoint said in a response.
+    pub(crate) fn record_notices(&self, choice: &Choice, notices: EndpointNotices) {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        if dispatcher.record_notices(now, choice.ticket.endpoint, notices) {
+            event!(Info, "endpoint_notices_changed", "endpoint" => choice.instance,
+                "rate_limit" => notices.rate_limit.map_or(String::new(), |r| r.to_string()));
+        }
+    }
+
     /// The health checks to send now.
     pub(crate) fn take_health_checks(&self) -> Vec<HealthCheck> {
         let now = self.now();
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -1,6 +1,6 @@
 use actix_web::http::header::HeaderMap;
 use mangospindle_client::ResponseHead;
-use mangospindle_dispatch::LoadReading;
+use mangospindle_dispatch::{EndpointNotices, LoadReading};
 use std::time::Duration;
 
 /// Metadata from the headers of a caller's request.
@@ -15,7 +15,7 @@
 }
 
 /// Metadata from the head of an endpoint's response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// The endpoint declares that it did not run the request.
     pub not_run: bool,
@@ -23,6 +23,8 @@
     pub misdirected: bool,
     /// Load reported by the endpoint.
     pub load: Option<LoadReading>,
+    /// What the endpoint says about the requests that it wants.
+    pub notices: EndpointNotices,
 }
 
 /// Names and formats of the headers exchanged between callers, entries and endpoints.
