Leave an endpoint alone for as long as its rejections ask

Cause: `Retry-After` of an endpoint was read nowhere.

The dispatcher now passes over the endpoint until the time is over, at most 60 s, for requests, retries and health checks of this entry.

Unit test `endpoints_are_left_alone_for_as_long_as_they_ask`.

--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -15,6 +15,9 @@
 const EJECTION_TIME_RANGE: (Duration, Duration) =
     (Duration::from_millis(500), Duration::from_secs(4));
 
+/// Longest time for which an endpoint is left alone at its own request.
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
+
 /// Time after a cold start within which a list that reports its end tells nothing new. Longer than a
 /// list reports it.
 const KNOWN_COLD_START_TIME: Duration = Duration::from_secs(5);
@@ -50,6 +53,8 @@
     pub(crate) failure_ratio: f64,
     consecutive_failures: u32,
     ejected_until: Duration,
+    /// Until when the endpoint wants no request from this entry.
+    backoff_until: Duration,
     /// Whether a connection attempt failed since the last successful response.
     unreachable: bool,
     /// Whether a connection was lost since a health check or a cold start last told whether the
@@ -82,6 +87,7 @@
             failure_ratio: 0.0,
             consecutive_failures: 0,
             ejected_until: Duration::ZERO,
+            backoff_until: Duration::ZERO,
             unreachable: false,
             restart_suspected: false,
             health_check: HealthCheckState::default(),
@@ -99,9 +105,15 @@
             && !evacuated.contains(&self.failure_domain)
     }
 
-    /// Whether the endpoint is eligible and not ejected.
+    /// Whether the endpoint is eligible, not ejected and accepts requests of this entry.
     pub(crate) fn is_usable(&self, now: Duration, evacuated: &BTreeSet<String>) -> bool {
-        self.is_eligible(evacuated) && now >= self.ejected_until
+        self.is_eligible(evacuated) && now >= self.ejected_until && now >= self.backoff_until
+    }
+
+    /// Records that the endpoint wants no request from this entry for a while.
+    pub(crate) fn back_off(&mut self, now: Duration, delay: Duration) {
+        let until = now + delay.min(MAX_BACKOFF);
+        self.backoff_until = self.backoff_until.max(until);
     }
 
     pub(crate) fn is_cold(&self, now: Duration) -> bool {
--- a/crates/dispatch/src/dispatcher/record_notices.rs
+++ b/crates/dispatch/src/dispatcher/record_notices.rs
@@ -5,7 +5,7 @@
 
 impl Dispatcher {
     /// Records what an endpoint said in a response to a request, whether or not it ran the request.
-    /// Returns whether that differs from what it said before.
+    /// Returns whether its rate limit has changed.
     pub fn record_notices(
         &mut self,
         now: Duration,
@@ -23,6 +23,9 @@
             .mul_f64(self.rng.random_range(0.0..1.0));
         if let Some(e) = self.endpoints.get_mut(&endpoint) {
             e.set_rate_limit(notices.rate_limit, now + delay);
+            if let Some(retry_after) = notices.retry_after {
+                e.back_off(now, retry_after);
+            }
         }
         changed
     }
--- a/crates/dispatch/tests/choices/notices.rs
+++ b/crates/dispatch/tests/choices/notices.rs
@@ -1,7 +1,7 @@
 //! Tests of what endpoints say in their responses about the requests that they want.
 
 use crate::support::{NOW, dispatcher, dispatcher_with_seed, ms, record, request};
-use mangospindle_dispatch::{Dispatcher, EndpointNotices, Outcome};
+use mangospindle_dispatch::{Dispatcher, EndpointKey, EndpointNotices, Outcome};
 use std::time::Duration;
 
 /// Sends a request if the dispatcher allows one, and records what the endpoint says.
@@ -48,6 +48,7 @@
     for case in cases {
         let notices = EndpointNotices {
             rate_limit: Some(case.rate),
+            ..EndpointNotices::default()
         };
         // The endpoint is in the region of one half of the entries and not in that of the other.
         let domains = ["a", "c"].iter().cycle();
@@ -90,6 +91,7 @@
     let mut entry = dispatcher(&[record(1, "a")]);
     let limited = EndpointNotices {
         rate_limit: Some(0.5),
+        ..EndpointNotices::default()
     };
     assert!(send(&mut entry, NOW, limited));
     let mut now = NOW;
@@ -100,3 +102,26 @@
     let sent = (0..10).filter(|n| send(&mut entry, now + ms(10 * n), EndpointNotices::default()));
     assert_eq!(sent.count(), 10);
 }
+
+/// Guards against requests to an endpoint that has asked this entry to stay away for a while.
+#[test]
+fn endpoints_are_left_alone_for_as_long_as_they_ask() {
+    let mut entry = dispatcher(&[record(1, "a")]);
+    let notices = EndpointNotices {
+        retry_after: Some(ms(2_500)),
+        ..EndpointNotices::default()
+    };
+    assert!(send(&mut entry, NOW, notices));
+    // A later response without the notice does not shorten the time.
+    entry.record_notices(NOW + ms(50), EndpointKey(0), EndpointNotices::default());
+    for at in [100, 1_000, 2_400] {
+        let sent = send(&mut entry, NOW + ms(at), EndpointNotices::default());
+        assert!(!sent, "a request after {at} ms");
+    }
+    assert!(entry.take_health_checks(NOW + ms(2_400)).is_empty());
+    assert!(send(
+        &mut entry,
+        NOW + ms(2_600),
+        EndpointNotices::default()
+    ));
+}
