Send nothing to an endpoint that says it is leaving

Cause: only the platform's list was asked, which shows the end of an endpoint 0.8 s and more later, and `Server-Leaving` was read nowhere.

The dispatcher now passes over an endpoint that said so for 30 s, or until a new cold start shows that it has started again under the same instance identifier. By then the list no longer names it otherwise.

Unit test `leaving_endpoints_receive_no_requests_until_they_start_again`.

--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -15,6 +15,10 @@
 const EJECTION_TIME_RANGE: (Duration, Duration) =
     (Duration::from_millis(500), Duration::from_secs(4));
 
+/// Time for which an endpoint that is about to stop gets no request. The list shows its end earlier;
+/// one that is still listed by then stays in use.
+const LEAVING_TIME: Duration = Duration::from_secs(30);
+
 /// Longest time for which an endpoint is left alone at its own request.
 const MAX_BACKOFF: Duration = Duration::from_secs(60);
 
@@ -55,6 +59,8 @@
     ejected_until: Duration,
     /// Until when the endpoint wants no request from this entry.
     backoff_until: Duration,
+    /// Until when the endpoint counts as leaving, as its responses said that it is about to stop.
+    leaving_until: Duration,
     /// Whether a connection attempt failed since the last successful response.
     unreachable: bool,
     /// Whether a connection was lost since a health check or a cold start last told whether the
@@ -88,6 +94,7 @@
             consecutive_failures: 0,
             ejected_until: Duration::ZERO,
             backoff_until: Duration::ZERO,
+            leaving_until: Duration::ZERO,
             unreachable: false,
             restart_suspected: false,
             health_check: HealthCheckState::default(),
@@ -107,7 +114,13 @@
 
     /// Whether the endpoint is eligible, not ejected and accepts requests of this entry.
     pub(crate) fn is_usable(&self, now: Duration, evacuated: &BTreeSet<String>) -> bool {
-        self.is_eligible(evacuated) && now >= self.ejected_until && now >= self.backoff_until
+        let unusable_until = [self.ejected_until, self.backoff_until, self.leaving_until];
+        self.is_eligible(evacuated) && unusable_until.iter().all(|until| now >= *until)
+    }
+
+    /// Records that the endpoint is about to stop.
+    pub(crate) fn record_leaving(&mut self, now: Duration) {
+        self.leaving_until = now + LEAVING_TIME;
     }
 
     /// Records that the endpoint wants no request from this entry for a while.
@@ -242,6 +255,8 @@
     /// Marks the endpoint as cold for at least `duration` and clears its working set.
     pub(crate) fn mark_cold(&mut self, now: Duration, duration: Duration) {
         if !self.is_cold(now) {
+            // The endpoint has started again, with its instance identifier.
+            self.leaving_until = Duration::ZERO;
             self.cold_limiter.reset();
         }
         self.cold_until = self.cold_until.max(Some(now + duration));
--- a/crates/dispatch/src/dispatcher/record_notices.rs
+++ b/crates/dispatch/src/dispatcher/record_notices.rs
@@ -23,6 +23,9 @@
             .mul_f64(self.rng.random_range(0.0..1.0));
         if let Some(e) = self.endpoints.get_mut(&endpoint) {
             e.set_rate_limit(notices.rate_limit, now + delay);
+            if notices.leaving {
+                e.record_leaving(now);
+            }
             if let Some(retry_after) = notices.retry_after {
                 e.back_off(now, retry_after);
             }
--- a/crates/dispatch/src/endpoint_notices.rs
+++ b/crates/dispatch/src/endpoint_notices.rs
@@ -6,6 +6,8 @@
     /// Requests per second that the endpoint takes from all entries together, for as long as its
     /// responses say so.
     pub rate_limit: Option<f64>,
+    /// Whether the endpoint is about to stop.
+    pub leaving: bool,
     /// How long the endpoint wants no request from this entry.
     pub retry_after: Option<Duration>,
 }
--- a/crates/dispatch/tests/choices/notices.rs
+++ b/crates/dispatch/tests/choices/notices.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{NOW, dispatcher, dispatcher_with_seed, ms, record, request};
 use mangospindle_dispatch::{Dispatcher, EndpointKey, EndpointNotices, Outcome};
+use mangospindle_fleet::EndpointRecord;
 use std::time::Duration;
 
 /// Sends a request if the dispatcher allows one, and records what the endpoint says.
@@ -125,3 +126,29 @@
         EndpointNotices::default()
     ));
 }
+
+/// Guards against new requests to an endpoint that has said that it is about to stop, before the list
+/// shows it as draining, and against an endpoint that stays unused after it has started again.
+#[test]
+fn leaving_endpoints_receive_no_requests_until_they_start_again() {
+    let mut entry = dispatcher(&[record(1, "a")]);
+    let notices = EndpointNotices {
+        leaving: true,
+        ..EndpointNotices::default()
+    };
+    assert!(send(&mut entry, NOW, notices));
+    for at in [100, 3_000, 10_000] {
+        let now = NOW + ms(at);
+        entry.update_endpoints(now, &[record(1, "a")]);
+        let sent = send(&mut entry, now, EndpointNotices::default());
+        assert!(!sent, "a request after {at} ms");
+    }
+    let started = NOW + ms(12_000);
+    let cold = EndpointRecord {
+        cold_for: ms(1_000),
+        ..record(1, "a")
+    };
+    entry.update_endpoints(started, &[cold]);
+    let warm = started + ms(4_000);
+    assert!(send(&mut entry, warm, EndpointNotices::default()));
+}
