--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,9 +100,8 @@
             RelayResult::Failed(e) => {
                 event!(Info, "relay_failed", "request" => context.id, "peer" => peer, "error" => e);
                 gateway.peers.borrow_mut().avoid(gateway.now(), peer);
-                if !context.idempotent {
-                    return Some(failed_response());
-                }
+                // The other entry may have used all attempts of the route.
+                return Some(failed_response());
             }
             RelayResult::TimedOut => {
                 event!(Info, "relay_late", "request" => context.id, "peer" => peer);
