Refuse requests whose head or framing never ends

What callers saw: nothing, but one caller could hold a connection and its buffers for any length of time with a header line, a chunk extension or trailers that never end, a byte at a time.

Cause: each byte started the timeout for incomplete requests again, and bytes of chunk extensions and trailers count towards no limit. The codec consumes them without a message.

The timeout now runs from the last progress of the request: its first bytes, its head or a piece of its body. Bytes of chunk framing since the last piece of the body are limited by the limit of heads; beyond it the request is refused with 413 as a body that is too large.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,7 +11,7 @@
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesOrdered;
-use mangospindle_model::ErrorKind;
+use mangospindle_model::{ErrorKind, RequestLimits};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -91,6 +91,9 @@
     closing: bool,
     /// When the last bytes were read or the last response was written.
     last_active: Instant,
+    /// When the incomplete request made progress last: its first bytes, its head or a piece of its
+    /// body. Bytes of a head or of chunk framing alone are none.
+    last_progress: Instant,
 }
 
 impl<'a> CallerConnection<'a> {
@@ -105,6 +108,7 @@
             responses: FuturesOrdered::new(),
             closing: false,
             last_active: Instant::now(),
+            last_progress: Instant::now(),
         }
     }
 
@@ -117,6 +121,7 @@
             let can_read = self.can_start() || self.buf.len() < MAX_READ_AHEAD_BYTES;
             let idle_deadline = self.idle_deadline();
             let idle = self.responses.is_empty();
+            let is_new = self.buf.is_empty() && !self.reader.is_partial();
             self.buf.reserve(READ_BYTES);
             tokio::select! {
                 biased;
@@ -130,6 +135,9 @@
                         return Ok(());
                     }
                     self.last_active = Instant::now();
+                    if is_new {
+                        self.last_progress = self.last_active;
+                    }
                     match self.closing {
                         // Unread requests are discarded. The caller can retry them on another
                         // entry.
@@ -149,7 +157,7 @@
         let limits = self.gateway.routes().limits;
         let partial = self.reader.is_partial() || !self.buf.is_empty();
         match partial {
-            true => self.last_active + limits.header_timeout,
+            true => self.last_progress + limits.header_timeout,
             false => self.last_active + limits.idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR),
         }
     }
@@ -163,8 +171,17 @@
     /// progress.
     async fn decode_requests(&mut self) -> io::Result<()> {
         let limits = self.gateway.routes().limits;
+        let progress = self.reader.progress();
+        let decoded = self.decode_started(&limits).await;
+        if self.reader.progress() != progress {
+            self.last_progress = Instant::now();
+        }
+        decoded
+    }
+
+    async fn decode_started(&mut self, limits: &RequestLimits) -> io::Result<()> {
         while !self.closing && self.can_start() {
-            match self.reader.decode(&mut self.buf, &limits) {
+            match self.reader.decode(&mut self.buf, limits) {
                 Ok(Decoded::Request(inbound)) => self.start(*inbound),
                 Ok(Decoded::Continue) => {
                     write_all(&mut self.write, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
--- a/crates/gateway/src/inbound_request.rs
+++ b/crates/gateway/src/inbound_request.rs
@@ -50,6 +50,10 @@
     codec: Codec,
     /// The request whose body is being read.
     partial: Option<(InboundRequest, BytesMut)>,
+    /// Number of heads and pieces of bodies that were decoded.
+    decoded: u64,
+    /// Bytes of chunk sizes, extensions and trailers since the last piece of a body.
+    framing_bytes: u64,
 }
 
 /// Result of decoding the bytes of a connection.
@@ -67,9 +71,17 @@
         RequestReader {
             codec: Codec::new(CONFIG.with(ServiceConfig::clone)),
             partial: None,
+            decoded: 0,
+            framing_bytes: 0,
         }
     }
 
+    /// Number of heads and pieces of bodies that were decoded. A caller that sends bytes without
+    /// raising it does not make progress.
+    pub(crate) fn progress(&self) -> u64 {
+        self.decoded
+    }
+
     /// Whether the body of a request has been read in part.
     pub(crate) fn is_partial(&self) -> bool {
         self.partial.is_some()
@@ -82,14 +94,25 @@
         limits: &RequestLimits,
     ) -> Result<Decoded, ErrorKind> {
         loop {
+            let available = buf.len();
             let message = match self.codec.decode(buf) {
-                Ok(Some(message)) => message,
+                Ok(Some(message)) => {
+                    self.decoded += 1;
+                    self.framing_bytes = 0;
+                    message
+                }
                 Ok(None)
                     if self.partial.is_none() && buf.len() as u64 > limits.max_header_bytes =>
                 {
                     return Err(ErrorKind::HeadersTooLarge);
                 }
-                Ok(None) => return Ok(Decoded::Incomplete),
+                Ok(None) => {
+                    self.framing_bytes += (available - buf.len()) as u64;
+                    if self.framing_bytes > limits.max_header_bytes {
+                        return Err(ErrorKind::BodyTooLarge);
+                    }
+                    return Ok(Decoded::Incomplete);
+                }
                 Err(actix_http::error::ParseError::TooLarge) => {
                     return Err(ErrorKind::HeadersTooLarge);
                 }
