Let other requests take their turn while an endpoint sends without end

Cause, read in the code and not traced: `Exchange` decoded up to 128 reads, the budget of the runtime, before another task ran, in the head and in chunk framing.

An exchange now yields after 8 reads.

--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -25,6 +25,10 @@
 /// Maximum length of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
+/// Number of reads after which an exchange lets other tasks of the thread take their turn. An
+/// endpoint can send faster than its bytes are decoded.
+const MAX_READS_PER_TURN: u32 = 8;
+
 /// State of reading a response.
 enum ReadState {
     /// The head of the response.
@@ -140,7 +144,7 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, ExchangeError>>> {
-        loop {
+        for _ in 0..MAX_READS_PER_TURN {
             match self.decode_body() {
                 Err(e) => {
                     self.lease = None;
@@ -168,6 +172,8 @@
                 }
             }
         }
+        cx.waker().wake_by_ref();
+        Poll::Pending
     }
 
     /// Abandons the exchange and returns the lease of its connection, if it is still open.
@@ -176,7 +182,7 @@
     }
 
     fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<HeadResult> {
-        loop {
+        for _ in 0..MAX_READS_PER_TURN {
             match self.decode_head()? {
                 Some(head) if self.is_stale_response(&head) => {
                     self.skip_stale_response(&head)?;
@@ -191,6 +197,8 @@
                 Ok(_) | Err(_) => return Poll::Ready(Err(ExchangeError::Closed)),
             }
         }
+        cx.waker().wake_by_ref();
+        Poll::Pending
     }
 
     /// Whether a response belongs to an earlier request on the connection.
