Close idle connections that the endpoint closed or sent bytes on

What callers saw: an endpoint that sends bytes after a response held the connection and its buffers until the connection was used again. An endpoint that restarted while its connections were idle was noticed only by the next request.

Cause: the state of an idle connection was looked at only when it was taken from the pool.

An endpoint that closed one before it expired may have restarted and gets a health check first, as if a request had found the connection closed.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -1,9 +1,11 @@
 use bytes::BytesMut;
+use futures::FutureExt;
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 /// An open connection with its read buffer.
@@ -41,6 +43,19 @@
         })
     }
 
+    /// Whether something has happened on an idle connection since the last call that returned `false`.
+    /// Costs a system call only if the runtime has seen an event.
+    pub fn has_event(&self) -> bool {
+        if self.stream.readable().now_or_never().is_none() {
+            return !self.buf.is_empty();
+        }
+        let peeked = self.stream.try_io(Interest::READABLE, || {
+            let mut byte = [MaybeUninit::<u8>::uninit(); 1];
+            SockRef::from(&self.stream).peek(&mut byte)
+        });
+        !self.buf.is_empty() || !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Whether the peer has closed the connection.
     pub fn is_closed_by_peer(&self) -> bool {
         let mut byte = [MaybeUninit::<u8>::uninit(); 1];
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -89,6 +89,25 @@
         unvalidated
     }
 
+    /// Closes the idle connections that the peer closed or on which it sent bytes without a request.
+    /// Returns the targets that closed a connection before it expired.
+    pub fn close_unusable(&self, now: Duration) -> Vec<T> {
+        let mut unusable = Vec::new();
+        for (target, list) in self.lock().iter_mut() {
+            let closed = list.extract_if(.., |c| c.has_event());
+            unusable.extend(closed.map(|c| (*target, c)));
+        }
+        let mut closed_by_peer = Vec::new();
+        for (target, connection) in unusable {
+            let expired = connection.expires_at.is_some_and(|until| now >= until);
+            if !expired && connection.is_closed_by_peer() {
+                closed_by_peer.push(target);
+            }
+            self.close(target, connection);
+        }
+        closed_by_peer
+    }
+
     /// Closes all idle connections to a target.
     pub fn clear(&self, target: T) {
         let list = self.lock().remove(&target);
--- a/crates/dispatch/src/dispatcher/record_outcome.rs
+++ b/crates/dispatch/src/dispatcher/record_outcome.rs
@@ -1,6 +1,6 @@
 use super::Dispatcher;
 use super::update::DEFAULT_COLD_START;
-use crate::{LoadReading, Outcome, SendTicket};
+use crate::{EndpointKey, LoadReading, Outcome, SendTicket};
 use rand::Rng;
 use std::time::Duration;
 
@@ -11,12 +11,7 @@
     /// Records the outcome of a request dispatched by [`Dispatcher::choose`]. Does nothing if the
     /// endpoint has been removed in the meantime.
     pub fn record_outcome(&mut self, now: Duration, ticket: SendTicket, outcome: Outcome) {
-        let Some(e) = self.endpoints.get(&ticket.endpoint) else {
-            return;
-        };
-        // Entries that lost their connections at the same time do not return at the same time.
-        let interval = self.cold_interval(&e.service);
-        let first_send_at = now + interval.mul_f64(self.rng.random_range(0.0..1.0));
+        let first_send_at = self.first_send_after_restart(now, ticket.endpoint);
         let Some(e) = self.endpoints.get_mut(&ticket.endpoint) else {
             return;
         };
@@ -63,6 +58,22 @@
             Outcome::Cancelled => {}
         }
     }
+
+    /// Records that an endpoint closed an idle connection before it expired. It may have restarted.
+    pub fn record_idle_close(&mut self, now: Duration, endpoint: EndpointKey) {
+        let first_send_at = self.first_send_after_restart(now, endpoint);
+        if let Some(e) = self.endpoints.get_mut(&endpoint) {
+            e.suspect_restart(now, first_send_at);
+        }
+    }
+
+    /// When this entry sends the first request to an endpoint that may have restarted. Entries that
+    /// lost their connections at the same time do not return at the same time.
+    fn first_send_after_restart(&mut self, now: Duration, endpoint: EndpointKey) -> Duration {
+        let service = self.endpoints.get(&endpoint).map(|e| e.service.as_str());
+        let interval = service.map_or(Duration::ZERO, |s| self.cold_interval(s));
+        now + interval.mul_f64(self.rng.random_range(0.0..1.0))
+    }
 }
 
 fn record_load(e: &mut super::endpoint::Endpoint, now: Duration, load: Option<LoadReading>) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use crate::protocol::Protocol;
 use crate::requests_in_progress::RequestsInProgress;
 use crate::settings::GatewaySettings;
-use crate::{control_sync, drain, health_checks, path_probes};
+use crate::{control_sync, drain, health_checks, idle_connections, path_probes};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
     Choice, Dispatcher, EndpointKey, EndpointNotices, HealthCheck, HealthReport, Outcome,
@@ -138,6 +138,8 @@
             tokio::task::spawn_local(accepting);
         }
         tokio::task::spawn_local(path_probes::run_path_probes(Rc::clone(&gateway)));
+        let checking = idle_connections::check_idle_connections(Rc::clone(&gateway));
+        tokio::task::spawn_local(checking);
         tokio::task::spawn_local(health_checks::run_health_checks(Rc::clone(&gateway)));
         tokio::task::spawn_local(control_sync::apply_config_updates(
             Rc::clone(&gateway),
@@ -224,6 +226,13 @@
         dispatcher.record_outcome(now, ticket, outcome);
     }
 
+    /// Records that an endpoint closed an idle connection before it expired.
+    pub(crate) fn record_idle_close(&self, endpoint: EndpointKey) {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.record_idle_close(now, endpoint);
+    }
+
     /// Records what an endpoint said in a response.
     pub(crate) fn record_notices(&self, choice: &Choice, notices: EndpointNotices) {
         let now = self.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod forward;
 mod gateway;
 mod health_checks;
+mod idle_connections;
 mod inbound_request;
 mod metrics;
 mod origin;
