Bound the number of peers that an entry learns

What callers saw: nothing yet; an entry without paths would have received all entries in each exchange, 57 KB each 0.7 s at 880 entries (`exchange_size`, before this change), on links of 2 Mbit/s.

A replica now answers an entry with at most 12 accepting entries of each region, selected by a hash of both names so that entries spread over their peers: 3.1 KB at 100 to 880 entries. Replicas still exchange all entries. A replica of the build before sends all, which entries accept as before.

Evidence: `entries_learn_a_few_peers_of_each_region`.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -18,7 +18,8 @@
 pub struct ExchangeRequest {
     /// Announcement of the sender, if it is an entry.
     pub entry: Option<EntryAnnouncement>,
-    /// Whether the reply should contain the known entries.
+    /// Whether the reply should contain the known entries: all of them if the sender is a replica, a
+    /// few of each region to which it can relay requests if it is an entry.
     pub wants_entries: bool,
     /// Digest of the endpoint list that the sender holds; zero if it holds none.
     pub known_list: u64,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time after the last announcement of an entry at which it no longer counts as live. Entries
 /// announce themselves about every 0.7 s, and an announcement takes another second to reach every
@@ -13,6 +14,10 @@
 /// Time after the last announcement of an entry at which it is removed from the view.
 const ENTRY_RETENTION: Duration = Duration::from_secs(60);
 
+/// Maximum number of entries of each region that an entry learns for relaying requests. It bounds the
+/// size of the reply in large deployments.
+const MAX_PEERS_PER_REGION: usize = 12;
+
 /// Minimum number of entries in a caller's failure domain for which the caller is directed only to
 /// these. With fewer, the loss of one entry would leave its callers without an alternative until
 /// their next lookup.
@@ -129,6 +134,7 @@
         replicas: Vec<SocketAddr>,
     ) -> ExchangeReply {
         let region = request.entry.as_ref().map(|e| e.region.clone());
+        let requester = request.entry.as_ref().map(|e| e.name.clone());
         if let Some(entry) = request.entry {
             self.record_announcement(now, entry, Duration::ZERO);
         }
@@ -137,15 +143,18 @@
             alive && Some(&k.entry.region) == region.as_ref()
         };
         let region_entries = self.entries.values().filter(in_region).count() as u32;
-        let entries = self.entries.values().filter(|_| request.wants_entries);
+        let entries: Vec<&KnownEntry> = match (request.wants_entries, requester) {
+            (false, _) => Vec::new(),
+            (true, None) => self.entries.values().collect(),
+            (true, Some(name)) => self.peers_of(now, &name),
+        };
+        let announced = entries.into_iter().map(|k| AnnouncedEntry {
+            entry: k.entry.clone(),
+            age: now.saturating_sub(k.announced_at),
+        });
         let list = self.list.as_ref();
         ExchangeReply {
-            entries: entries
-                .map(|k| AnnouncedEntry {
-                    entry: k.entry.clone(),
-                    age: now.saturating_sub(k.announced_at),
-                })
-                .collect(),
+            entries: announced.collect(),
             replicas,
             region_entries,
             list_digest: list.map_or(0, |l| l.digest),
@@ -156,6 +165,23 @@
         }
     }
 
+    /// Entries to which the entry `name` may relay requests: a few accepting ones of each region. They
+    /// are selected by a hash that includes the name, so that entries spread over them.
+    fn peers_of(&self, now: Duration, name: &str) -> Vec<&KnownEntry> {
+        let mut peers: Vec<&KnownEntry> = (self.entries.values())
+            .filter(|k| now.saturating_sub(k.announced_at) < ENTRY_TIMEOUT)
+            .filter(|k| k.entry.accepting && k.entry.name != name)
+            .collect();
+        peers.sort_by_cached_key(|k| xxh3_64(format!("{name}\n{}", k.entry.name).as_bytes()));
+        let mut in_region: BTreeMap<&str, usize> = BTreeMap::new();
+        peers.retain(|k| {
+            let count = in_region.entry(&k.entry.region).or_default();
+            *count += 1;
+            *count <= MAX_PEERS_PER_REGION
+        });
+        peers
+    }
+
     /// Returns the entries that a caller should connect to: those of its failure domain if there
     /// are enough, otherwise those of its region, otherwise all. Entries that are not live, or that
     /// do not accept callers, are returned only if there are no others. The time to live is
--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -6,6 +6,7 @@
     CallerLocation, EndpointList, EndpointRecord, EndpointState, EntryAnnouncement,
     ExchangeRequest, Fleet,
 };
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 const fn ms(ms: u64) -> Duration {
@@ -304,3 +305,47 @@
         assert_eq!(lookup.addresses.len(), 1, "{}", case.name);
     }
 }
+
+/// Guards against a reply to an entry that grows with the deployment, names the entry itself or entries
+/// that do not accept requests, and against entries that all relay to the same few.
+#[test]
+fn entries_learn_a_few_peers_of_each_region() {
+    const MAX_PEERS_PER_REGION: usize = 12;
+    let now = ms(100_000);
+    let mut fleet = Fleet::default();
+    for n in 0..100 {
+        let region = ["north", "south"][n % 2];
+        let accepting = n % 5 != 0;
+        let mut entry = entry("e1", "a", region, accepting);
+        entry.name = format!("e{n}");
+        entry.address.set_port(n as u16 + 1);
+        fleet.record_announcement(now, entry, ms(0));
+    }
+    let mut uses: BTreeMap<String, usize> = BTreeMap::new();
+    for n in 0..100 {
+        let region = ["north", "south"][n % 2];
+        let mut requester = entry("e1", "a", region, true);
+        requester.name = format!("e{n}");
+        requester.address.set_port(n as u16 + 1);
+        let request = ExchangeRequest {
+            entry: Some(requester.clone()),
+            wants_entries: true,
+            known_list: 0,
+        };
+        let peers = fleet.clone().respond(now, request, Vec::new()).entries;
+        for region in ["north", "south"] {
+            let in_region = peers.iter().filter(|p| p.entry.region == region);
+            assert_eq!(in_region.count(), MAX_PEERS_PER_REGION);
+        }
+        assert!(peers.iter().all(|p| p.entry.name != requester.name));
+        for peer in peers {
+            *uses.entry(peer.entry.name).or_default() += 1;
+        }
+    }
+    // 24 peers of each of 100 entries, spread over 80.
+    let most = uses.values().max().copied().unwrap_or_default();
+    assert!(most < 60, "one entry is a peer of {most} others");
+    // A replica still learns all entries.
+    let all = fleet.respond(now, request(true), Vec::new()).entries;
+    assert_eq!(all.len(), 100);
+}
