Send health checks at once and suspect a restart only if all connections are closed

What callers saw: an endpoint that had lost one connection, for instance with a lost answer, was left out by the entry until a health check, for up to 100 ms more than the check takes, although it had not restarted.

An endpoint that restarts closes all of its connections, so a closed one is a sign only if no idle one is open. A health check that a request waits for is sent at once instead of at the next interval.

--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -89,6 +89,13 @@
         unvalidated
     }
 
+    /// Whether an idle connection to a target is open.
+    pub fn has_open(&self, target: T) -> bool {
+        let idle = self.lock();
+        let list = idle.get(&target);
+        list.is_some_and(|list| list.iter().any(|c| !c.is_closed_by_peer()))
+    }
+
     /// Closes the idle connections that the peer closed or on which it sent bytes without a request.
     /// Returns the targets that closed a connection before it expired.
     pub fn close_unusable(&self, now: Duration) -> Vec<T> {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -28,6 +28,8 @@
     by_instance: BTreeMap<String, EndpointKey>,
     services: BTreeMap<String, Service>,
     next_key: u32,
+    /// Whether a request could have used an endpoint that needs a health check first.
+    health_checks_wanted: bool,
     /// Number of entries in this region, including this one, and when it was last updated.
     region_entries: (u32, Duration),
 }
@@ -44,6 +46,7 @@
             by_instance: BTreeMap::new(),
             services: BTreeMap::new(),
             next_key: 0,
+            health_checks_wanted: false,
             region_entries: (1, Duration::ZERO),
         }
     }
--- a/crates/dispatch/src/dispatcher/check_health.rs
+++ b/crates/dispatch/src/dispatcher/check_health.rs
@@ -5,10 +5,16 @@
 use std::time::Duration;
 
 impl Dispatcher {
+    /// Whether a request could have used an endpoint that needs a health check first.
+    pub fn wants_health_checks(&self) -> bool {
+        self.health_checks_wanted
+    }
+
     /// The health checks to send now. Each must be followed by a call of
     /// [`Dispatcher::record_health_check`].
     pub fn take_health_checks(&mut self, now: Duration) -> Vec<HealthCheck> {
         let mut checks = Vec::new();
+        self.health_checks_wanted = false;
         for (key, e) in &mut self.endpoints {
             let service = self.routes.services.get(&e.service);
             match service {
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -1,6 +1,7 @@
 use super::Dispatcher;
 use super::endpoint::Endpoint;
 use crate::entry_rate_limiter::send_interval;
+use crate::health_check::HealthCheckState;
 use crate::region_shares::RegionLoad;
 use crate::{Choice, EndpointKey, Refusal, RefusalReason, Request, SendTicket};
 use mangospindle_model::rendezvous_score;
@@ -225,11 +226,14 @@
         let in_own_region = region == self.settings.region();
         let homes = request.home_regions;
         let in_home_region = homes.is_empty() || homes.iter().any(|h| h == region);
+        if !in_home_region || !e.is_usable(now, &self.evacuated) {
+            return false;
+        }
         let limited = e.may_have_restarted() || e.is_cold(now);
+        let may_send = e.may_send(request.idempotent);
+        self.health_checks_wanted |= e.health_check == HealthCheckState::Wanted;
         match limited {
-            _ if !in_home_region || !e.is_usable(now, &self.evacuated) => false,
-            _ if !e.rate_limit_allows(now) => false,
-            _ if !e.may_send(request.idempotent) => false,
+            _ if !may_send || !e.rate_limit_allows(now) => false,
             false => true,
             true => {
                 let offset = self.rng.random_range(0.0..1.0);
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -25,9 +25,10 @@
     Misdirected,
     /// No connection could be opened. Nothing was sent.
     Unreachable,
-    /// The response is not valid or incomplete.
+    /// The response is not valid or incomplete, or its connection was closed while others are open.
     Failed,
-    /// The connection was closed before the response. The endpoint may have restarted.
+    /// The connection was closed before the response, and none is open. The endpoint may have
+    /// restarted.
     Disconnected,
     /// The idle connections were closed by the endpoint, which may have restarted. Nothing was sent.
     ClosedWhileIdle,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -108,8 +108,10 @@
             AttemptResult::Unreachable
         }
         Ok(Err(e)) => {
+            let target = ConnectionTarget::Endpoint(choice.ticket.endpoint);
             guard.finish(match e {
-                ExchangeError::Closed => Outcome::Disconnected,
+                // An endpoint that restarts closes all of its connections.
+                ExchangeError::Closed if !gateway.pool.has_open(target) => Outcome::Disconnected,
                 _ => Outcome::Failed,
             });
             AttemptResult::Failed(e)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -74,6 +74,8 @@
     /// Until when the peers are kept up to date.
     peers_wanted_until: Cell<Duration>,
     attracts_callers: Cell<bool>,
+    /// Wakes the task that sends health checks, ahead of its interval.
+    pub(crate) check_health_now: Notify,
     registry: Registry,
     ready: Arc<AtomicBool>,
     dispatcher: RefCell<Dispatcher>,
@@ -125,6 +127,7 @@
             phase: watch::Sender::new(Phase::Serving),
             stop_schedule: Cell::new(None),
             announce_now: Notify::new(),
+            check_health_now: Notify::new(),
             paths: RefCell::default(),
             peers_wanted_until: Cell::default(),
             attracts_callers: Cell::new(true),
@@ -216,7 +219,12 @@
         request: &Request<'_>,
     ) -> std::result::Result<Choice, Refusal> {
         let now = self.now();
-        self.dispatcher.borrow_mut().choose(now, request)
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let choice = dispatcher.choose(now, request);
+        if dispatcher.wants_health_checks() {
+            self.check_health_now.notify_one();
+        }
+        choice
     }
 
     /// Records the outcome of an attempt.
--- a/crates/gateway/src/health_checks.rs
+++ b/crates/gateway/src/health_checks.rs
@@ -22,7 +22,9 @@
 /// Sends the health checks that the dispatcher wants.
 pub(crate) async fn run_health_checks(gateway: Rc<Gateway>) {
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        let wanted = gateway.check_health_now.notified();
+        // A request that waits for the check is not delayed by the interval.
+        let _ = tokio::time::timeout(CHECK_INTERVAL, wanted).await;
         for check in gateway.take_health_checks() {
             let gateway = Rc::clone(&gateway);
             tokio::task::spawn_local(async move {
