--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -35,7 +35,7 @@
 /// The result of one poll of the platform's endpoint list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointListing {
-    /// The listed endpoints.
+    /// The listed endpoints. `cold_for` counts from the end of the poll.
     pub endpoints: Vec<EndpointRecord>,
     /// Number of calls to the platform that the poll needed.
     pub calls: u32,
--- a/crates/fleet/src/endpoint_list.rs
+++ b/crates/fleet/src/endpoint_list.rs
@@ -8,7 +8,7 @@
 /// Time after the end of a cold start for which an endpoint is still reported as cold. The rate
 /// limit of a cold endpoint applies to each second that begins during its cold start, and a list
 /// can reach an entry after the end.
-const COLD_REPORT_TIME: Duration = Duration::from_secs(2);
+const COLD_REPORT_TIME: Duration = Duration::from_secs(1);
 
 /// A copy of the platform's list of endpoints.
 #[derive(Clone, Debug)]
@@ -32,8 +32,7 @@
     }
 
     /// Creates a list from the result of a query that was made at `read_at` and took until
-    /// `finished_at`. The platform counts the remaining time of a cold start from its response, so
-    /// it is counted from the end of the reading here.
+    /// `finished_at`, from which `cold_for` counts.
     pub fn from_reading(
         mut endpoints: Vec<EndpointRecord>,
         read_at: Duration,
@@ -63,7 +62,8 @@
         });
         let inherited: Vec<_> = reported.map(|(i, until)| (i.clone(), *until)).collect();
         for (instance, until) in inherited {
-            self.cold_until.entry(instance).or_insert(until);
+            let known = self.cold_until.entry(instance).or_insert(until);
+            *known = until.max(*known);
         }
         self.digest = digest(&self.endpoints, &self.cold_until);
     }
--- a/crates/fleet/src/endpoint_record.rs
+++ b/crates/fleet/src/endpoint_record.rs
@@ -35,6 +35,14 @@
 }
 
 impl EndpointRecord {
+    /// Counts the remaining time of a cold start from `age` later. One that has ended by then is still
+    /// reported.
+    pub fn age_cold_start(&mut self, age: Duration) {
+        if !self.cold_for.is_zero() {
+            self.cold_for = self.cold_for.saturating_sub(age).max(ENDED_COLD_FOR);
+        }
+    }
+
     /// Whether the record reports a cold start that has ended lately.
     pub fn cold_start_has_ended(&self) -> bool {
         self.cold_for == ENDED_COLD_FOR
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -241,7 +241,8 @@
     read_at: Duration,
 ) -> EndpointList {
     for endpoint in &mut endpoints {
-        if !endpoint.cold_for.is_zero() {
+        // The time at which a cold start ended is not known; it must not move with each hop.
+        if !endpoint.cold_for.is_zero() && !endpoint.cold_start_has_ended() {
             endpoint.cold_for += age;
         }
     }
--- a/crates/fleet/tests/views.rs
+++ b/crates/fleet/tests/views.rs
@@ -349,3 +349,14 @@
     let all = fleet.respond(now, request(true), Vec::new()).entries;
     assert_eq!(all.len(), 100);
 }
+
+/// Guards against a cold start that is forgotten, or counted too long, while further pages are read.
+#[test]
+fn cold_starts_age_while_a_list_is_read() {
+    let cases = [(0, 500, 0), (3_000, 500, 2_500), (400, 500, 1), (1, 500, 1)];
+    for (cold_ms, age_ms, expected_ms) in cases {
+        let mut record = endpoint("i-1", ms(cold_ms));
+        record.age_cold_start(ms(age_ms));
+        assert_eq!(record.cold_for, ms(expected_ms), "{cold_ms} ms");
+    }
+}
