Do not take idle timeouts of endpoints for restarts

What callers saw: nothing on the users' platform, whose endpoints announce their idle timeout. Endpoints that close idle connections without announcing it would have been suspected of a restart after each quiet time, and the first requests after it refused until a health check had passed. Found in review.

A closed connection now counts as a sign of a restart only if it was used within 5 s before. One that was idle longer belongs to an entry that sends the endpoint little.

The three peeks at a connection are one function now.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -8,6 +8,9 @@
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
+/// Shortest idle timeout that peers are assumed to have if they announce none.
+const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// An open connection with its read buffer.
 #[derive(Debug)]
 pub struct Connection {
@@ -43,35 +46,43 @@
         })
     }
 
-    /// Whether something has happened on an idle connection since the last call that returned `false`.
-    /// Costs a system call only if the runtime has seen an event.
+    /// Whether the peer has closed an idle connection or sent bytes on it. Costs a system call only if
+    /// the runtime has seen an event.
     pub fn has_event(&self) -> bool {
-        if self.stream.readable().now_or_never().is_none() {
-            return !self.buf.is_empty();
-        }
-        let peeked = self.stream.try_io(Interest::READABLE, || {
-            let mut byte = [MaybeUninit::<u8>::uninit(); 1];
-            SockRef::from(&self.stream).peek(&mut byte)
-        });
-        !self.buf.is_empty() || !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        let seen = self.stream.readable().now_or_never().is_some();
+        // A peek without a result clears the event.
+        let peek = || self.stream.try_io(Interest::READABLE, || self.peek());
+        !self.buf.is_empty() || (seen && !is_pending(&peek()))
     }
 
     /// Whether the peer has closed the connection.
     pub fn is_closed_by_peer(&self) -> bool {
-        let mut byte = [MaybeUninit::<u8>::uninit(); 1];
-        match SockRef::from(&self.stream).peek(&mut byte) {
+        match self.peek() {
             Ok(n) => n == 0,
-            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+            pending_or_failed => !is_pending(&pending_or_failed),
         }
     }
 
+    /// Whether the peer has closed the connection although it was used lately, so that it was not closed
+    /// for being idle.
+    pub fn was_closed_early(&self, now: Duration) -> bool {
+        now.saturating_sub(self.last_used_at) < MIN_IDLE_TIMEOUT && self.is_closed_by_peer()
+    }
+
     /// Whether the peer has neither closed the connection nor sent unsolicited bytes, such as the
     /// rest of a late response.
     pub fn is_reusable(&self) -> bool {
-        // Peeks at the socket directly, because the readiness cached by tokio can be out of date.
+        self.buf.is_empty() && is_pending(&self.peek())
+    }
+
+    /// Peeks at the socket directly, because the readiness cached by tokio can be out of date.
+    fn peek(&self) -> io::Result<usize> {
         let mut byte = [MaybeUninit::<u8>::uninit(); 1];
-        let peek_result = SockRef::from(&self.stream).peek(&mut byte);
-        self.buf.is_empty()
-            && matches!(peek_result, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        SockRef::from(&self.stream).peek(&mut byte)
     }
 }
+
+/// Whether a peek found neither bytes nor the end of the connection.
+fn is_pending(peeked: &io::Result<usize>) -> bool {
+    matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -36,29 +36,29 @@
         self.find(target, now, validated_after).lease
     }
 
-    /// Like [`Pool::acquire`], but also tells whether the peer closed a connection.
+    /// Like [`Pool::acquire`], but also tells whether the peer closed a connection early.
     pub fn find(
         self: &Arc<Self>,
         target: T,
         now: Duration,
         validated_after: Duration,
     ) -> PoolLookup<T> {
-        let mut closed_by_peer = false;
+        let mut closed_early = false;
         while let Some(connection) = self.pop_idle(target, validated_after) {
             let expired = connection.expires_at.is_some_and(|until| now >= until);
             if connection.is_reusable() && !expired {
                 let lease = Lease::from_idle(Arc::clone(self), target, connection);
                 return PoolLookup {
                     lease: Some(lease),
-                    closed_by_peer,
+                    closed_early,
                 };
             }
-            closed_by_peer |= !expired && connection.is_closed_by_peer();
+            closed_early |= !expired && connection.was_closed_early(now);
             self.close(target, connection);
         }
         PoolLookup {
             lease: None,
-            closed_by_peer,
+            closed_early,
         }
     }
 
@@ -97,22 +97,22 @@
     }
 
     /// Closes the idle connections that the peer closed or on which it sent bytes without a request.
-    /// Returns the targets that closed a connection before it expired.
+    /// Returns the targets that closed a connection early.
     pub fn close_unusable(&self, now: Duration) -> Vec<T> {
         let mut unusable = Vec::new();
         for (target, list) in self.lock().iter_mut() {
             let closed = list.extract_if(.., |c| c.has_event());
             unusable.extend(closed.map(|c| (*target, c)));
         }
-        let mut closed_by_peer = Vec::new();
+        let mut closed_early = Vec::new();
         for (target, connection) in unusable {
             let expired = connection.expires_at.is_some_and(|until| now >= until);
-            if !expired && connection.is_closed_by_peer() {
-                closed_by_peer.push(target);
+            if !expired && connection.was_closed_early(now) {
+                closed_early.push(target);
             }
             self.close(target, connection);
         }
-        closed_by_peer
+        closed_early
     }
 
     /// Closes all idle connections to a target.
--- a/crates/client/src/pool_lookup.rs
+++ b/crates/client/src/pool_lookup.rs
@@ -8,6 +8,6 @@
 {
     /// A connection that can be used.
     pub lease: Option<Lease<T>>,
-    /// Whether the peer had closed a connection before it expired.
-    pub closed_by_peer: bool,
+    /// Whether the peer had closed a connection that was used lately and had not expired.
+    pub closed_early: bool,
 }
--- a/crates/dispatch/src/dispatcher/record_outcome.rs
+++ b/crates/dispatch/src/dispatcher/record_outcome.rs
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Records that an endpoint closed an idle connection before it expired. It may have restarted.
+    /// Records that an endpoint closed an idle connection early. It may have restarted.
     pub fn record_idle_close(&mut self, now: Duration, endpoint: EndpointKey) {
         let first_send_at = self.first_send_after_restart(now, endpoint);
         if let Some(e) = self.endpoints.get_mut(&endpoint) {
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -30,7 +30,7 @@
     /// The connection was closed before the response, and none is open. The endpoint may have
     /// restarted.
     Disconnected,
-    /// The idle connections were closed by the endpoint, which may have restarted. Nothing was sent.
+    /// The idle connections were closed early by the endpoint, which may have restarted. Nothing was sent.
     ClosedWhileIdle,
     /// The endpoint did not respond in time.
     TimedOut,
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -20,7 +20,7 @@
 /// Reason why there is no connection to an endpoint.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ConnectError {
-    /// The endpoint closed its idle connections, so it may have restarted.
+    /// The endpoint closed its idle connections early, so it may have restarted.
     #[error("the idle connections were closed")]
     ClosedWhileIdle,
     /// No connection could be opened.
@@ -28,8 +28,8 @@
     Unreachable(#[from] io::Error),
 }
 
-/// Returns a connection from the pool, or opens one if none was pooled. No byte of the request has been sent if this
-/// fails.
+/// Returns a connection from the pool, or opens one if none was pooled. No byte of the request has
+/// been sent if this fails.
 pub(crate) async fn connect(
     gateway: &Gateway,
     endpoint: EndpointKey,
@@ -48,8 +48,7 @@
             lease: Some(lease), ..
         } => Ok(lease),
         PoolLookup {
-            closed_by_peer: true,
-            ..
+            closed_early: true, ..
         } => Err(ConnectError::ClosedWhileIdle),
         PoolLookup { .. } => Ok(open(gateway, endpoint, address, time_left).await?),
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -234,7 +234,7 @@
         dispatcher.record_outcome(now, ticket, outcome);
     }
 
-    /// Records that an endpoint closed an idle connection before it expired.
+    /// Records that an endpoint closed an idle connection early.
     pub(crate) fn record_idle_close(&self, endpoint: EndpointKey) {
         let now = self.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
