--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,5 +1,6 @@
 mod check_health;
 mod choose;
+mod eligibility;
 mod endpoint;
 mod probe_targets;
 mod record_notices;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,10 +35,6 @@
 /// a longer one.
 const MAX_RETRY_AFTER_FRACTION: f64 = 0.3;
 
-/// Time for which the peers are kept up to date after a request needed one. The list of all entries
-/// is not requested in calm times, because every entry would receive it in each exchange.
-const PEERS_WANTED_TIME: Duration = Duration::from_secs(5);
-
 /// Phase of serving or of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -72,8 +68,8 @@
     /// Entries to which requests are relayed while there is none.
     pub(crate) peers: RefCell<RelayPeers>,
     /// Until when the peers are kept up to date.
-    peers_wanted_until: Cell<Duration>,
-    attracts_callers: Cell<bool>,
+    pub(crate) peers_wanted_until: Cell<Duration>,
+    pub(crate) attracts_callers: Cell<bool>,
     /// Wakes the task that sends health checks, ahead of its interval.
     pub(crate) check_health_now: Notify,
     registry: Registry,
@@ -295,34 +291,6 @@
         self.ready.load(Ordering::Relaxed) && self.attracts_callers.get()
     }
 
-    /// Announces at once that callers should leave or may return.
-    pub(crate) fn update_attraction(&self) {
-        let attracts = self.paths.borrow().attracts_callers(self.now());
-        if self.attracts_callers.replace(attracts) != attracts {
-            self.announce_now.notify_one();
-        }
-    }
-
-    /// Whether this entry has no path to any endpoint.
-    pub(crate) fn paths_lost(&self) -> bool {
-        self.paths.borrow().are_lost()
-    }
-
-    /// Keeps the peers up to date for a while, and updates them at once if they are not.
-    pub(crate) fn want_peers(&self) {
-        let now = self.now();
-        let were_wanted = self.wants_peers();
-        self.peers_wanted_until.set(now + PEERS_WANTED_TIME);
-        if !were_wanted {
-            self.announce_now.notify_one();
-        }
-    }
-
-    /// Whether the peers are kept up to date.
-    pub(crate) fn wants_peers(&self) -> bool {
-        self.now() < self.peers_wanted_until.get()
-    }
-
     /// Recomputes the readiness and announces a change at once. The gateway is ready if it has
     /// routes and is not stopping.
     pub(crate) fn update_readiness(&self) {
--- a/crates/gateway/src/path_probes.rs
+++ b/crates/gateway/src/path_probes.rs
@@ -14,6 +14,21 @@
 /// Number of endpoints that are probed at the same time, in different failure domains.
 const PROBES_PER_ROUND: usize = 3;
 
+impl Gateway {
+    /// Announces at once that callers should leave or may return.
+    pub(crate) fn update_attraction(&self) {
+        let attracts = self.paths.borrow().attracts_callers(self.now());
+        if self.attracts_callers.replace(attracts) != attracts {
+            self.announce_now.notify_one();
+        }
+    }
+
+    /// Whether this entry has no path to any endpoint.
+    pub(crate) fn paths_lost(&self) -> bool {
+        self.paths.borrow().are_lost()
+    }
+}
+
 /// Probes the paths whenever the path monitor asks for it.
 pub(crate) async fn run_path_probes(gateway: Rc<Gateway>) {
     loop {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -38,6 +38,10 @@
 /// Maximum time since the last response on a pooled connection to another entry.
 const MAX_VALIDATION_AGE: Duration = Duration::from_secs(3);
 
+/// Time for which the peers are kept up to date after a request needed one. They are not requested in
+/// calm times, because every entry would receive them in each exchange.
+const PEERS_WANTED_TIME: Duration = Duration::from_secs(5);
+
 /// Result of an attempt to relay a request.
 enum RelayResult {
     /// The response of the other entry, which may be that of an endpoint.
@@ -65,6 +69,23 @@
     }
 }
 
+impl Gateway {
+    /// Keeps the peers up to date for a while, and updates them at once if they are not.
+    pub(crate) fn want_peers(&self) {
+        let now = self.now();
+        let were_wanted = self.wants_peers();
+        self.peers_wanted_until.set(now + PEERS_WANTED_TIME);
+        if !were_wanted {
+            self.announce_now.notify_one();
+        }
+    }
+
+    /// Whether the peers are kept up to date.
+    pub(crate) fn wants_peers(&self) -> bool {
+        self.now() < self.peers_wanted_until.get()
+    }
+}
+
 /// Offers a request to other entries. Returns `None` if none of them took it.
 pub(crate) async fn relay(
     gateway: &Rc<Gateway>,
