Do not check all endpoints after a loss of the entry's own paths

What callers saw: after a cut that reset connections, requests of an entry were late or refused until it had checked each endpoint, on a link of 2 Mbit/s that these checks crowd. Entries that were not cut but whose link was crowded with relayed requests took that for a loss of their paths, for about a second at a time.

Cause: closed connections count as a sign of a restart, also if the entry's own paths were lost; and probes of the paths had the same 300 ms whether or not endpoints responded.

When the paths are back, suspicions and ejections from the loss are forgotten: the list of endpoints, which arrives from the replicas during the cut, names those that restarted. Probes wait for 1 s while endpoints respond, as a response shows that there is a path.

Evidence: `lost_connections_are_no_sign_of_a_restart_while_the_paths_were_lost`, `probes_wait_longer_while_endpoints_respond`.

--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -63,9 +63,9 @@
     leaving_until: Duration,
     /// Whether a connection attempt failed since the last successful response.
     unreachable: bool,
-    /// Whether a connection was lost since a health check or a cold start last told whether the
-    /// endpoint is cold.
-    restart_suspected: bool,
+    /// When a connection was lost last, unless a health check or a cold start has told since whether
+    /// the endpoint is cold.
+    restart_suspected_at: Option<Duration>,
     pub(crate) health_check: HealthCheckState,
 }
 
@@ -96,7 +96,7 @@
             backoff_until: Duration::ZERO,
             leaving_until: Duration::ZERO,
             unreachable: false,
-            restart_suspected: false,
+            restart_suspected_at: None,
             health_check: HealthCheckState::default(),
         };
         if !record.cold_for.is_zero() {
@@ -168,7 +168,7 @@
         self.health_check = HealthCheckState::NotNeeded;
         self.failure_ratio -= FAILURE_SAMPLE_WEIGHT * self.failure_ratio;
         if std::mem::take(&mut self.unreachable) {
-            self.restart_suspected = false;
+            self.restart_suspected_at = None;
             self.mark_cold(now, cold_start);
         }
     }
@@ -186,7 +186,7 @@
     /// Records that a connection was lost. Until it is known whether the endpoint restarted, it gets
     /// no more requests than a cold one, the first of them at `first_send_at`.
     pub(crate) fn suspect_restart(&mut self, now: Duration, first_send_at: Duration) {
-        self.restart_suspected = true;
+        self.restart_suspected_at = Some(now);
         if !self.is_cold(now) {
             self.cold_limiter.start(first_send_at);
         }
@@ -214,10 +214,23 @@
 
     /// Whether the endpoint may have restarted, in which case a health check is requested here.
     pub(crate) fn may_have_restarted(&mut self) -> bool {
-        if self.restart_suspected && self.health_check == HealthCheckState::NotNeeded {
+        let suspected = self.restart_suspected_at.is_some();
+        if suspected && self.health_check == HealthCheckState::NotNeeded {
             self.health_check = HealthCheckState::Wanted;
         }
-        self.restart_suspected
+        suspected
+    }
+
+    /// Forgets the suspicion and the ejection of an endpoint that lost its connections at `since` or
+    /// later, because this entry had lost its own paths.
+    pub(crate) fn forget_failures_since(&mut self, since: Duration) {
+        if self.restart_suspected_at.is_some_and(|at| at >= since) {
+            self.restart_suspected_at = None;
+            self.unreachable = false;
+            self.consecutive_failures = 0;
+            self.ejected_until = Duration::ZERO;
+            self.health_check = HealthCheckState::NotNeeded;
+        }
     }
 
     /// Records how long the endpoint stays cold according to its response to a health check. Without
@@ -229,7 +242,7 @@
         cold_start: Duration,
     ) {
         let was_unreachable = std::mem::take(&mut self.unreachable);
-        self.restart_suspected = false;
+        self.restart_suspected_at = None;
         let cold_for = match cold_for {
             Some(cold_for) => cold_for,
             None if was_unreachable => cold_start,
--- a/crates/dispatch/src/dispatcher/record_outcome.rs
+++ b/crates/dispatch/src/dispatcher/record_outcome.rs
@@ -7,6 +7,9 @@
 /// Number of consecutive failures that a timeout counts as.
 const TIMEOUT_FAILURES: u32 = 2;
 
+/// Time within which the loss of all paths is noticed.
+const LOSS_DETECTION_TIME: Duration = Duration::from_millis(1500);
+
 impl Dispatcher {
     /// Records the outcome of a request dispatched by [`Dispatcher::choose`]. Does nothing if the
     /// endpoint has been removed in the meantime.
@@ -67,6 +70,16 @@
         }
     }
 
+    /// Records that this entry has a path to endpoints again, after a loss that was noticed at
+    /// `lost_at`. That endpoints lost their connections since then, or shortly before, is no sign of
+    /// a restart. The list of endpoints, which arrives on other paths, names those that restarted.
+    pub fn record_paths_restored(&mut self, lost_at: Duration) {
+        let since = lost_at.saturating_sub(LOSS_DETECTION_TIME);
+        for e in self.endpoints.values_mut() {
+            e.forget_failures_since(since);
+        }
+    }
+
     /// When this entry sends the first request to an endpoint that may have restarted. Entries that
     /// lost their connections at the same time do not return at the same time.
     fn first_send_after_restart(&mut self, now: Duration, endpoint: EndpointKey) -> Duration {
--- a/crates/dispatch/src/path_monitor.rs
+++ b/crates/dispatch/src/path_monitor.rs
@@ -6,6 +6,11 @@
 /// are probed.
 const MAX_SILENCE: Duration = Duration::from_millis(500);
 
+/// Timeouts of a probe while endpoints are silent and while they respond. If they respond, the loss of
+/// all paths is unlikely, and a crowded link may delay the probe.
+const PROBE_TIMEOUTS: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_millis(1000));
+
 /// Number of endpoints whose connections failed to open, since one was opened, after which the
 /// paths are probed.
 const MAX_FAILED_ENDPOINTS: usize = 3;
@@ -81,12 +86,24 @@
     /// Whether a round of probes is due. `waiting_since` is when the oldest request that waits for
     /// a response was sent, if there is one.
     pub fn is_round_due(&self, now: Duration, waiting_since: Option<Duration>) -> bool {
-        let silent = now.saturating_sub(self.last_response_at) >= MAX_SILENCE
+        let silent = self.is_silent(now)
             && waiting_since.is_some_and(|since| now.saturating_sub(since) >= MAX_SILENCE);
         let suspected = silent || self.failed.len() >= MAX_FAILED_ENDPOINTS;
         now >= self.next_round_at && (self.are_lost() || suspected)
     }
 
+    /// Timeout of the probes of a round that starts now.
+    pub fn probe_timeout(&self, now: Duration) -> Duration {
+        match self.is_silent(now) {
+            true => PROBE_TIMEOUTS.0,
+            false => PROBE_TIMEOUTS.1,
+        }
+    }
+
+    fn is_silent(&self, now: Duration) -> bool {
+        now.saturating_sub(self.last_response_at) >= MAX_SILENCE
+    }
+
     /// Records the result of a round of probes.
     pub fn record_round(&mut self, now: Duration, round: ProbeRound) -> Option<PathChange> {
         self.next_round_at = match round.opened {
--- a/crates/dispatch/tests/choices/restarts.rs
+++ b/crates/dispatch/tests/choices/restarts.rs
@@ -159,3 +159,39 @@
     dispatcher.record_health_check(later, checks[0].endpoint, report);
     assert!(dispatcher.choose(later, &request()).is_ok());
 }
+
+/// Guards against an entry that checks every endpoint before it uses it again after the loss of its own
+/// paths, and against one that forgets a restart from before the loss.
+#[test]
+fn lost_connections_are_no_sign_of_a_restart_while_the_paths_were_lost() {
+    struct Case {
+        name: &'static str,
+        /// When the connection was lost, relative to the notice of the loss of the paths.
+        before_loss: Duration,
+        /// Whether the endpoint is used at once when the paths are back.
+        used: bool,
+    }
+    let cases = [
+        Case {
+            name: "with the paths",
+            before_loss: ms(700),
+            used: true,
+        },
+        Case {
+            name: "long before",
+            before_loss: ms(5_000),
+            used: false,
+        },
+    ];
+    let lost_at = NOW + ms(10_000);
+    let restored_at = lost_at + ms(6_000);
+    for case in cases {
+        let mut dispatcher = dispatcher(&[record(1, "c")]);
+        let lost = lost_at - case.before_loss;
+        let choice = dispatcher.choose(lost, &request()).unwrap();
+        dispatcher.record_outcome(lost, choice.ticket, Outcome::Disconnected);
+        dispatcher.record_paths_restored(lost_at);
+        let used = dispatcher.choose(restored_at, &request()).is_ok();
+        assert_eq!(used, case.used, "{}", case.name);
+    }
+}
--- a/crates/dispatch/tests/paths.rs
+++ b/crates/dispatch/tests/paths.rs
@@ -122,3 +122,13 @@
     assert!(!paths.attracts_callers(later + ms(500)));
     assert!(paths.attracts_callers(later + ms(1_500)));
 }
+
+/// Guards against a crowded link that is taken for the loss of all paths.
+#[test]
+fn probes_wait_longer_while_endpoints_respond() {
+    let mut paths = PathMonitor::default();
+    paths.record_response(NOW);
+    let responding = paths.probe_timeout(NOW + ms(200));
+    let silent = paths.probe_timeout(NOW + ms(700));
+    assert!(responding >= 3 * silent, "{responding:?}, {silent:?}");
+}
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -50,7 +50,10 @@
         PoolLookup {
             closed_early: true, ..
         } => Err(ConnectError::ClosedWhileIdle),
-        PoolLookup { .. } => Ok(open(gateway, endpoint, address, time_left).await?),
+        PoolLookup { .. } => {
+            let timeout = CONNECT_TIMEOUT.min(time_left);
+            Ok(open(gateway, endpoint, address, timeout).await?)
+        }
     }
 }
 
@@ -59,11 +62,10 @@
     gateway: &Gateway,
     endpoint: EndpointKey,
     address: SocketAddr,
-    time_left: Duration,
+    timeout: Duration,
 ) -> io::Result<Lease<ConnectionTarget>> {
     let target = ConnectionTarget::Endpoint(endpoint);
     let mut lease = Lease::unopened(Arc::clone(&gateway.pool), target);
-    let timeout = CONNECT_TIMEOUT.min(time_left);
     let opened = Connection::open(address, gateway.now(), timeout).await;
     let mut paths = gateway.paths.borrow_mut();
     match &opened {
--- a/crates/gateway/src/health_checks.rs
+++ b/crates/gateway/src/health_checks.rs
@@ -2,7 +2,7 @@
 //! endpoints that may have restarted, to learn whether they are cold.
 
 use crate::attempt::drain_body;
-use crate::connect::{ConnectError, connect, open};
+use crate::connect::{CONNECT_TIMEOUT, ConnectError, connect, open};
 use crate::connection_target::ConnectionTarget;
 use crate::gateway::Gateway;
 use actix_web::http::header::HeaderMap;
@@ -88,7 +88,7 @@
     let pooled = connect(gateway, check.endpoint, check.address, false, CHECK_TIMEOUT).await;
     match pooled {
         Err(ConnectError::ClosedWhileIdle) => {
-            Ok(open(gateway, check.endpoint, check.address, CHECK_TIMEOUT).await?)
+            Ok(open(gateway, check.endpoint, check.address, CONNECT_TIMEOUT).await?)
         }
         pooled => pooled,
     }
--- a/crates/gateway/src/path_probes.rs
+++ b/crates/gateway/src/path_probes.rs
@@ -1,6 +1,6 @@
 //! Probes of the network paths to endpoints while requests get no response.
 
-use crate::connect::{CONNECT_TIMEOUT, open};
+use crate::connect::open;
 use crate::gateway::Gateway;
 use futures::future::join_all;
 use mangospindle_dispatch::{PathChange, ProbeRound};
@@ -48,8 +48,9 @@
 /// Opens connections to a few endpoints. Those that open are kept for requests.
 async fn probe_paths(gateway: &Gateway) -> ProbeRound {
     let targets = gateway.with_dispatcher(|d, _| d.probe_targets(PROBES_PER_ROUND));
+    let timeout = gateway.paths.borrow().probe_timeout(gateway.now());
     let probes = targets.iter().map(|&(endpoint, address)| async move {
-        match open(gateway, endpoint, address, CONNECT_TIMEOUT).await {
+        match open(gateway, endpoint, address, timeout).await {
             Ok(lease) => {
                 lease.release();
                 true
@@ -79,6 +80,7 @@
                 "lost_ms" => now.saturating_sub(lost_at).as_millis());
             // Connections from before the loss can stay silent for good.
             drop(gateway.pool.acquire_unvalidated(lost_at));
+            gateway.with_dispatcher(|d, _| d.record_paths_restored(lost_at));
         }
         None => log::debug!("{} of {} path probes succeeded", round.opened, round.probed),
     }
