--- a/crates/dispatch/src/path_monitor.rs
+++ b/crates/dispatch/src/path_monitor.rs
@@ -26,7 +26,7 @@
 /// single endpoint looks the same from here.
 const MIN_PROBES: usize = 2;
 
-/// Time after the return of the paths during which the entry does not attract callers. Paths that
+/// Time after the return of the paths during which no callers are directed to the entry. Paths that
 /// come and go would otherwise make callers come and go.
 const RETURN_DELAY: Duration = Duration::from_secs(1);
 
@@ -132,7 +132,7 @@
     }
 
     /// Whether callers should be directed to this entry.
-    pub fn attracts_callers(&self, now: Duration) -> bool {
+    pub fn accepts_callers(&self, now: Duration) -> bool {
         let returning = (self.restored_at).is_some_and(|at| now < at + RETURN_DELAY);
         !self.are_lost() && !returning
     }
--- a/crates/dispatch/tests/paths.rs
+++ b/crates/dispatch/tests/paths.rs
@@ -103,7 +103,7 @@
         let change = paths.record_round(NOW, round);
         assert_eq!(change, lost.then_some(PathChange::Lost), "{round:?}");
         assert_eq!(paths.are_lost(), lost, "{round:?}");
-        assert_eq!(paths.attracts_callers(NOW), !lost, "{round:?}");
+        assert_eq!(paths.accepts_callers(NOW), !lost, "{round:?}");
     }
 }
 
@@ -119,8 +119,8 @@
     let change = paths.record_round(later, round(3, 2));
     assert_eq!(change, Some(PathChange::Restored { lost_at: NOW }));
     assert!(!paths.are_lost());
-    assert!(!paths.attracts_callers(later + ms(500)));
-    assert!(paths.attracts_callers(later + ms(1_500)));
+    assert!(!paths.accepts_callers(later + ms(500)));
+    assert!(paths.accepts_callers(later + ms(1_500)));
 }
 
 /// Guards against a crowded link that is taken for the loss of all paths.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -69,7 +69,7 @@
     pub(crate) peers: RefCell<RelayPeers>,
     /// Until when the peers are kept up to date.
     pub(crate) peers_wanted_until: Cell<Duration>,
-    pub(crate) attracts_callers: Cell<bool>,
+    pub(crate) accepts_callers: Cell<bool>,
     /// Wakes the task that sends health checks, ahead of its interval.
     pub(crate) check_health_now: Notify,
     registry: Registry,
@@ -126,7 +126,7 @@
             check_health_now: Notify::new(),
             paths: RefCell::default(),
             peers_wanted_until: Cell::default(),
-            attracts_callers: Cell::new(true),
+            accepts_callers: Cell::new(true),
             registry,
             ready: Arc::default(),
             dispatcher: RefCell::new(dispatcher),
@@ -288,7 +288,7 @@
     /// Whether new callers should be directed to this entry. A ready entry without a path to any
     /// endpoint serves its callers through other entries, which is slower for them.
     pub(crate) fn is_accepting(&self) -> bool {
-        self.ready.load(Ordering::Relaxed) && self.attracts_callers.get()
+        self.ready.load(Ordering::Relaxed) && self.accepts_callers.get()
     }
 
     /// Recomputes the readiness and announces a change at once. The gateway is ready if it has
--- a/crates/gateway/src/path_probes.rs
+++ b/crates/gateway/src/path_probes.rs
@@ -16,9 +16,9 @@
 
 impl Gateway {
     /// Announces at once that callers should leave or may return.
-    pub(crate) fn update_attraction(&self) {
-        let attracts = self.paths.borrow().attracts_callers(self.now());
-        if self.attracts_callers.replace(attracts) != attracts {
+    pub(crate) fn update_accepts_callers(&self) {
+        let accepts = self.paths.borrow().accepts_callers(self.now());
+        if self.accepts_callers.replace(accepts) != accepts {
             self.announce_now.notify_one();
         }
     }
@@ -41,7 +41,7 @@
             let round = probe_paths(&gateway).await;
             record_round(&gateway, round);
         }
-        gateway.update_attraction();
+        gateway.update_accepts_callers();
     }
 }
 
