--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -146,7 +146,10 @@
                     }
                 }
                 () = sleep_until(idle_deadline), if idle => {
-                    return self.handle_timeout().await;
+                    // A configuration that came meanwhile may allow more time.
+                    if self.idle_deadline() <= idle_deadline {
+                        return self.handle_timeout().await;
+                    }
                 }
             }
         }
