--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -5,18 +5,11 @@
 use crate::published_state::PublishedState;
 use futures::future::join_all;
 use mangospindle_consensus::ReplicaId;
+use mangospindle_fleet::timing::{LIST_EXCHANGE_INTERVAL, VIEW_EXCHANGE_INTERVAL};
 use mangospindle_fleet::{ExchangeReply, PeerKey};
 use mangospindle_model::Clock;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// Interval between exchanges with all other replicas.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(600);
-
-/// Interval between requests for the list of endpoints to the leader, which polls it. Draining
-/// endpoints must be known everywhere within seconds, and an unchanged list costs a few bytes.
-const LIST_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Exchanges the fleet view with other replicas.
 pub(crate) struct ViewExchange {
@@ -30,7 +23,7 @@
     /// Requests the fleet views of the other replicas until the future is dropped.
     pub(crate) async fn exchange_views(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(EXCHANGE_INTERVAL).await;
+            tokio::time::sleep(VIEW_EXCHANGE_INTERVAL).await;
             let members = match self.published.members.borrow().is_empty() {
                 true => self.replicas.initial_ids(),
                 false => self.published.members.borrow().clone(),
@@ -42,7 +35,7 @@
     /// Requests the list of endpoints of the leader until the future is dropped.
     pub(crate) async fn follow_list(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(LIST_INTERVAL).await;
+            tokio::time::sleep(LIST_EXCHANGE_INTERVAL).await;
             let leader = self.published.leader.get();
             if let Some(leader) = leader {
                 self.exchange(leader.replica, false).await;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod peer_entries;
 mod poll_schedule;
 mod relay_peers;
+pub mod timing;
 
 pub use endpoint_copy::{EndpointCopy, EndpointCopyError, EndpointUpdate};
 pub use endpoint_difference::EndpointDifference;
--- a/crates/fleet/src/poll_schedule.rs
+++ b/crates/fleet/src/poll_schedule.rs
@@ -37,8 +37,8 @@
     failure_domains: Vec<String>,
     /// Calls per second that the platform accepts from all processes together.
     max_rate: f64,
-    /// Calls that the last poll needed.
-    calls: u32,
+    /// Calls that the last poll needed; `None` before the first.
+    calls: Option<u32>,
     interval: Duration,
     last_poll: Option<Duration>,
     was_leader: bool,
@@ -52,7 +52,7 @@
         PollSchedule {
             failure_domains,
             max_rate,
-            calls: 0,
+            calls: None,
             interval: MIN_POLL_INTERVAL,
             last_poll: None,
             was_leader: false,
@@ -80,15 +80,17 @@
     /// Failure domains to read side by side. Empty if the list should be read in one go, because it
     /// has no more pages than there are failure domains.
     pub fn domains_to_read(&self) -> Vec<String> {
-        match self.calls as usize > self.failure_domains.len() {
-            true => self.failure_domains.clone(),
-            false => Vec::new(),
+        let domains = self.failure_domains.len();
+        match self.calls {
+            Some(calls) if calls as usize <= domains => Vec::new(),
+            // A list of unknown length may have many pages.
+            Some(_) | None => self.failure_domains.clone(),
         }
     }
 
     /// Sets the interval after a poll that needed `calls` calls.
     pub fn record_calls(&mut self, calls: u32) {
-        self.calls = calls;
+        self.calls = Some(calls);
         self.interval = list_poll_interval(calls, self.max_rate);
     }
 }
--- a/crates/gateway/src/control_sync.rs
+++ b/crates/gateway/src/control_sync.rs
@@ -2,6 +2,7 @@
 //! entry.
 
 use crate::gateway::Gateway;
+use mangospindle_fleet::timing::ENTRY_EXCHANGE_INTERVAL;
 use mangospindle_fleet::{
     EndpointCopy, EndpointUpdate, EntryAnnouncement, ExchangeReply, ExchangeRequest, KnownVersions,
 };
@@ -13,9 +14,6 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Interval between exchanges with a control replica.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(700);
-
 /// Interval between exchanges while this entry has no list of endpoints.
 const INITIAL_EXCHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -73,7 +71,7 @@
         }
         let interval = match copy.digest() {
             0 => INITIAL_EXCHANGE_INTERVAL,
-            _ => EXCHANGE_INTERVAL,
+            _ => ENTRY_EXCHANGE_INTERVAL,
         };
         // A change of readiness is announced without waiting for the interval.
         let _ = tokio::time::timeout(interval, gateway.announce_now.notified()).await;
