--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -29,6 +29,8 @@
     syncs: IntCounter,
     sync_seconds: Histogram,
     proposals: IntCounterVec,
+    whole_lists_sent: IntGauge,
+    list_differences_sent: IntGauge,
     peer_sent: IntGauge,
     peer_received: IntGauge,
     peer_counters: TrafficCounters,
@@ -97,6 +99,14 @@
                 "Time since the state was known to be current; -1 for never.",
             )?,
             watches: r.gauge("watches", "Watches that are open.")?,
+            whole_lists_sent: r.gauge(
+                "whole_lists_sent",
+                "Whole lists of endpoints sent to entries and replicas.",
+            )?,
+            list_differences_sent: r.gauge(
+                "list_differences_sent",
+                "Differences between lists of endpoints sent to entries and replicas.",
+            )?,
             peer_sent: r.gauge(
                 "peer_sent_bytes",
                 "Bytes sent on connections that this replica opened to other replicas.",
@@ -173,6 +183,10 @@
         self.confirmed_age_ms
             .set(age.map_or(-1, |age| age.as_millis() as i64));
         self.watches.set(published.open_watches.get() as i64);
+        let sent_lists = published.fleet().sent_lists();
+        self.whole_lists_sent.set(sent_lists.whole as i64);
+        self.list_differences_sent
+            .set(sent_lists.differences as i64);
         self.peer_sent.set(self.peer_counters.bytes_sent() as i64);
         self.peer_received
             .set(self.peer_counters.bytes_received() as i64);
