Report a proposal as not accepted when there is no time for another attempt

Cause of the known failure of propose_distinguishes_not_accepted_from_unknown (4 of 40 runs, always the case "refused"): `propose` sent the command once more whenever its pause ended before the deadline, and an attempt that is not answered in the time left turns a known result into an unknown one. A further attempt now needs 200 ms.

--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -19,6 +19,11 @@
 const PROPOSE_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(10), Duration::from_millis(100));
 
+/// Minimum time left for a further attempt at a proposal that was not accepted. An attempt that is not
+/// answered in time would turn a result that is known into an unknown one. Allows four round trips
+/// between regions and some load.
+const MIN_PROPOSE_TIME: Duration = Duration::from_millis(200);
+
 /// Settings of a [`ControlClient`].
 #[derive(Clone)]
 pub struct ControlClientSettings {
@@ -130,7 +135,8 @@
                 None => return ProposeResult::NotAccepted,
             };
             let delay = backoff.next_delay();
-            if result != ProposeResult::NotAccepted || delay >= self.remaining(deadline) {
+            let next_has_time = delay + MIN_PROPOSE_TIME < self.remaining(deadline);
+            if result != ProposeResult::NotAccepted || !next_has_time {
                 return result;
             }
             tokio::time::sleep(delay).await;
