--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -12,6 +12,7 @@
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesOrdered;
 use mangospindle_model::{ErrorKind, RequestLimits};
+use mangospindle_telemetry::event;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -70,9 +71,8 @@
     }
     let (read, write) = stream.split();
     let mut connection = CallerConnection::new(Rc::clone(&gateway), origin, read, write);
-    // Logged at debug level only: the caller has disconnected, or its response tells the reason.
     if let Err(e) = connection.run().await {
-        log::debug!("caller connection failed: {e}");
+        connection.log_failure(&e);
     }
     gateway.metrics.caller_connections.dec();
 }
@@ -155,6 +155,16 @@
         }
     }
 
+    /// Logs that the connection failed. Without a request, the caller has just disconnected.
+    fn log_failure(&self, error: &io::Error) {
+        let unread = self.buf.len();
+        match self.responses.is_empty() && unread == 0 {
+            true => log::debug!("caller connection failed: {error}"),
+            false => event!(Info, "caller_connection_failed", "reason" => error,
+                "in_progress" => self.responses.len(), "unread_bytes" => unread),
+        }
+    }
+
     /// Time at which a connection without requests in progress is closed.
     fn idle_deadline(&self) -> Instant {
         let limits = self.gateway.routes().limits;
