--- a/crates/dispatch/src/load_estimate.rs
+++ b/crates/dispatch/src/load_estimate.rs
@@ -40,7 +40,7 @@
     /// Records a load report. Must be called after [`LoadEstimate::record_end`] for the response
     /// that carried the report, because the report no longer includes that request.
     pub(crate) fn record_report(&mut self, now: Duration, reading: LoadReading) {
-        let total = f64::from(reading.running + reading.waiting);
+        let total = f64::from(reading.running) + f64::from(reading.waiting);
         self.others = (total - f64::from(self.own)).max(0.0);
         self.reported_at = now;
     }
--- a/crates/dispatch/tests/choices/main.rs
+++ b/crates/dispatch/tests/choices/main.rs
@@ -231,3 +231,30 @@
         assert_eq!(counts, [18, 2, 0]);
     }
 }
+
+/// Guards against a load report whose numbers overflow when they are added, which ends a process that
+/// checks for it and makes the endpoint seem idle in one that does not.
+#[test]
+fn extreme_load_reports_do_not_overflow() {
+    let mut dispatcher = dispatcher(&[record(1, "a"), record(2, "a")]);
+    let load = Some(LoadReading {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: 3,
+    });
+    let first = dispatcher
+        .choose(NOW, &request())
+        .expect("the endpoints are idle");
+    let reported = first.ticket.endpoint;
+    let outcome = Outcome::Answered {
+        elapsed: ms(100),
+        load,
+    };
+    dispatcher.record_outcome(NOW, first.ticket, outcome);
+    for _ in 0..3 {
+        let choice = dispatcher
+            .choose(NOW, &request())
+            .expect("the other endpoint is idle");
+        assert_ne!(choice.ticket.endpoint, reported);
+    }
+}
