Answer lookups at a replica that has just started

Cause: a replica asked the others for their view 0.6 s after its start at the earliest, and refused every lookup until then, also while the others knew all entries.

Ruled out: that entries without paths leave nobody to name; a lookup falls back to entries that do not accept callers, and the failing lookup was the first one after the start.

Change: a replica asks at once, and every 0.1 s until 3 s after it heard of the first entry. A lookup waits up to 0.5 s (callers allow one second) until 0.2 s after the first entry was heard of, so that after a restart of all processes callers do not all get the one entry that announced itself first.

--- a/crates/control/src/fleet_view.rs
+++ b/crates/control/src/fleet_view.rs
@@ -5,11 +5,14 @@
 use crate::published_state::PublishedState;
 use futures::future::join_all;
 use mangospindle_consensus::ReplicaId;
-use mangospindle_fleet::timing::{LIST_EXCHANGE_INTERVAL, VIEW_EXCHANGE_INTERVAL};
+use mangospindle_fleet::timing::{
+    INITIAL_VIEW_EXCHANGE_INTERVAL, LIST_EXCHANGE_INTERVAL, VIEW_EXCHANGE_INTERVAL,
+};
 use mangospindle_fleet::{ExchangeReply, PeerKey};
 use mangospindle_model::Clock;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Exchanges the fleet view with other replicas.
 pub(crate) struct ViewExchange {
@@ -23,12 +26,19 @@
     /// Requests the fleet views of the other replicas until the future is dropped.
     pub(crate) async fn exchange_views(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(VIEW_EXCHANGE_INTERVAL).await;
             let members = match self.published.members.borrow().is_empty() {
                 true => self.replicas.initial_ids(),
                 false => self.published.members.borrow().clone(),
             };
             join_all(members.into_iter().map(|m| self.exchange(m, true))).await;
+            tokio::time::sleep(self.view_exchange_interval()).await;
+        }
+    }
+
+    fn view_exchange_interval(&self) -> Duration {
+        match self.published.fleet().is_incomplete(self.clock.now()) {
+            true => INITIAL_VIEW_EXCHANGE_INTERVAL,
+            false => VIEW_EXCHANGE_INTERVAL,
         }
     }
 
--- a/crates/control/src/operator_handle.rs
+++ b/crates/control/src/operator_handle.rs
@@ -5,9 +5,16 @@
 use mangospindle_model::{Clock, ErrorKind, RouteTable};
 use mangospindle_state::{Actor, Command, CommandKind, Outcome, RequestId};
 use mangospindle_telemetry::event;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Longest time for which a lookup waits for the first entries. Callers turn to another replica after a
+/// second.
+const MAX_LOOKUP_WAIT: Duration = Duration::from_millis(500);
+
+/// Interval between checks of the view while a lookup waits.
+const LOOKUP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Handle for requests of operators and callers to a control replica. Can be used on any thread.
 #[derive(Clone)]
 pub struct OperatorHandle {
@@ -61,14 +68,24 @@
         self.backend.route_document().await
     }
 
-    /// Returns the entries that a caller should connect to, valid for at most `max_time_to_live`.
-    pub fn entries_for_caller(
+    /// Returns the entries that a caller should connect to, valid for at most `max_time_to_live`. Waits
+    /// for a short time while this replica has just started and is still learning them.
+    pub async fn entries_for_caller(
         &self,
         caller: &CallerLocation,
         max_time_to_live: Duration,
     ) -> EntryLookup {
-        let fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
-        fleet.lookup_entries(self.clock.now(), caller, max_time_to_live)
+        let wait_until = self.clock.now() + MAX_LOOKUP_WAIT;
+        while self.clock.now() < wait_until && self.fleet().is_settling(self.clock.now()) {
+            tokio::time::sleep(LOOKUP_CHECK_INTERVAL).await;
+        }
+        self.fleet()
+            .lookup_entries(self.clock.now(), caller, max_time_to_live)
+    }
+
+    fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        // A panic while the lock is held leaves the view consistent, so poisoning is ignored.
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the metrics of the replica in the Prometheus text format.
--- a/crates/fleet/src/fleet/lookup.rs
+++ b/crates/fleet/src/fleet/lookup.rs
@@ -16,6 +16,11 @@
 /// entries that started first.
 const INCOMPLETE_VIEW_TTL: Duration = Duration::from_millis(500);
 
+/// Time after the first announcement during which a lookup is better answered a little later. After a loss
+/// of all processes the entries announce themselves at about the same time, and callers would otherwise
+/// all be directed to the first one.
+const SETTLING_TIME: Duration = Duration::from_millis(200);
+
 /// Location of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallerLocation {
@@ -46,10 +51,7 @@
         max_time_to_live: Duration,
     ) -> EntryLookup {
         let (addresses, nearby) = self.addresses_for(now, caller);
-        let incomplete = self
-            .first_announcement_at
-            .is_none_or(|at| now < at + ENTRY_TIMEOUT);
-        let time_to_live = match nearby && !incomplete {
+        let time_to_live = match nearby && !self.is_incomplete(now) {
             true => max_time_to_live,
             false => max_time_to_live.min(INCOMPLETE_VIEW_TTL),
         };
@@ -59,6 +61,19 @@
         }
     }
 
+    /// Whether no entry is known yet, or the first one was announced so recently that others are likely to
+    /// follow at once.
+    pub fn is_settling(&self, now: Duration) -> bool {
+        self.first_announcement_at
+            .is_none_or(|at| now < at + SETTLING_TIME)
+    }
+
+    /// Whether the view may still lack entries, because the first one was announced recently.
+    pub fn is_incomplete(&self, now: Duration) -> bool {
+        self.first_announcement_at
+            .is_none_or(|at| now < at + ENTRY_TIMEOUT)
+    }
+
     /// Returns the addresses of the entries for a caller, and whether these are in its region.
     fn addresses_for(&self, now: Duration, caller: &CallerLocation) -> (Vec<SocketAddr>, bool) {
         let alive: Vec<&EntryAnnouncement> = (self.entries.iter())
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -9,6 +9,10 @@
 /// Interval between exchanges of a replica with all other replicas.
 pub const VIEW_EXCHANGE_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Interval between exchanges of a replica whose view may still lack entries. Callers that look up entries
+/// wait for its first exchange.
+pub const INITIAL_VIEW_EXCHANGE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval between requests of a replica for the list of endpoints to the leader, which polls it.
 /// Draining endpoints must be known everywhere within seconds, and an unchanged list costs a few
 /// bytes.
