Shift requests between regions by the load that responses report

Cause: the share of requests that an entry keeps in its own region follows the load there, which was the sum of its estimates for each endpoint. The part of an estimate that other entries cause is halved every 0.6 s. An entry of a large deployment hears of an endpoint once in ten seconds, so that a full region looked idle and all its callers' requests moved back into it: of the requests of a region with a tenth of the endpoints and a third of the callers, a third went elsewhere, where 0.71 would balance the load.

Ruled out: that the way to other regions costs those callers their target. It is 42 ms of 400; on the emulator the same region loses with it, too.

Change: the load is the mean of the last 20 loads that responses from the own region reported, however many endpoints there are, and unknown before.

The emulator reports results by region of the caller.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -1,6 +1,5 @@
 use super::Dispatcher;
 use super::endpoint::Endpoint;
-use crate::region_shares::RegionLoad;
 use crate::{Choice, EndpointKey, Refusal, RefusalReason, Request, SendTicket};
 use mangospindle_model::rendezvous_score;
 use rand::Rng;
@@ -137,9 +136,10 @@
         let regions = self.usable_regions(now, request);
         let own_region = self.settings.region().to_string();
         let count = self.settings.region_count();
-        let loads = self.region_loads(now, request.service);
+        let slots = self.region_slots(now, request.service);
         let service = self.services.get_mut(request.service)?;
-        service.shares.update(now, &own_region, count, &loads);
+        let load_ratio = service.region_load.load_ratio();
+        (service.shares).update(now, &own_region, count, &slots, load_ratio);
         let selected = match request.tried.is_empty() {
             true => service
                 .shares
@@ -168,19 +168,18 @@
         regions
     }
 
-    fn region_loads(&self, now: Duration, service: &str) -> BTreeMap<String, RegionLoad> {
-        let mut loads: BTreeMap<String, RegionLoad> = BTreeMap::new();
+    /// Slots of the healthy endpoints of a service in each region.
+    fn region_slots(&self, now: Duration, service: &str) -> BTreeMap<String, u32> {
+        let mut slots: BTreeMap<String, u32> = BTreeMap::new();
         let service = self.services.get(service);
         for key in service.map_or(&[][..], |s| &s.endpoints) {
             let Some(e) = self.endpoints.get(key).filter(|e| self.is_healthy(now, e)) else {
                 continue;
             };
             let region = self.settings.region_of(&e.failure_domain);
-            let load = loads.entry(region.to_string()).or_default();
-            load.slots += e.slots;
-            load.in_progress += e.load.expected(now);
+            *slots.entry(region.to_string()).or_default() += e.slots;
         }
-        loads
+        slots
     }
 
     fn is_healthy(&self, now: Duration, e: &Endpoint) -> bool {
--- a/crates/dispatch/src/dispatcher/record_outcome.rs
+++ b/crates/dispatch/src/dispatcher/record_outcome.rs
@@ -19,6 +19,12 @@
             return;
         };
         e.load.record_end();
+        if let Some(reading) = outcome.load()
+            && let Some(service) = self.services.get_mut(&e.service)
+            && self.settings.region_of(&e.failure_domain) == self.settings.region()
+        {
+            service.region_load.record(reading);
+        }
         let service = self.routes.services.get(&e.service);
         let cold_start = service.map_or(DEFAULT_COLD_START, |s| s.cold_start);
         match outcome {
--- a/crates/dispatch/src/dispatcher/service.rs
+++ b/crates/dispatch/src/dispatcher/service.rs
@@ -1,3 +1,4 @@
+use crate::region_load::RegionLoadEstimate;
 use crate::region_shares::RegionShares;
 use crate::service_time_estimate::ServiceTimeEstimate;
 use crate::{DispatchSettings, EndpointKey};
@@ -12,6 +13,8 @@
 pub(crate) struct Service {
     pub(crate) endpoints: Vec<EndpointKey>,
     pub(crate) shares: RegionShares,
+    /// Load of the endpoints in this entry's region.
+    pub(crate) region_load: RegionLoadEstimate,
     pub(crate) service_time: ServiceTimeEstimate,
     pub(crate) retry_budget: RetryBudget,
     /// Highest priority of the routes to the service; 0 is the highest possible.
@@ -26,6 +29,7 @@
         Service {
             endpoints: Vec::new(),
             shares: RegionShares::default(),
+            region_load: RegionLoadEstimate::default(),
             service_time: ServiceTimeEstimate::default(),
             retry_budget: RetryBudget::with_capacity(slack),
             top_priority: 0,
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -37,3 +37,21 @@
     /// The attempt was cancelled, for example because the caller disconnected.
     Cancelled,
 }
+
+impl Outcome {
+    /// Load that the endpoint reported, if it responded with one.
+    pub(crate) fn load(&self) -> Option<LoadReading> {
+        match self {
+            Outcome::Answered { load, .. }
+            | Outcome::EndpointError { load }
+            | Outcome::Rejected { load } => *load,
+            Outcome::Misdirected
+            | Outcome::Unreachable
+            | Outcome::Failed
+            | Outcome::Disconnected
+            | Outcome::ClosedWhileIdle
+            | Outcome::TimedOut
+            | Outcome::Cancelled => None,
+        }
+    }
+}
--- a/crates/dispatch/src/region_shares.rs
+++ b/crates/dispatch/src/region_shares.rs
@@ -17,13 +17,6 @@
 /// objects in its endpoints' working sets.
 const MAX_REQUESTS_AHEAD: f64 = 2.0;
 
-/// Capacity and load of a service in a region.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct RegionLoad {
-    pub(crate) slots: u32,
-    pub(crate) in_progress: f64,
-}
-
 /// Shares of a service's requests that are sent to each region.
 ///
 /// All regions are assumed to have the same demand. A region with less than an equal share of the
@@ -39,29 +32,29 @@
 }
 
 impl RegionShares {
-    /// Adjusts the shares to the load, at most once per [`SHARE_UPDATE_INTERVAL`].
+    /// Adjusts the shares, at most once per [`SHARE_UPDATE_INTERVAL`]. `slots` are those of each region that
+    /// has any, and `load_ratio` is the load per slot that requests met in this entry's region, if it is
+    /// known.
     pub(crate) fn update(
         &mut self,
         now: Duration,
         own_region: &str,
         regions: usize,
-        loads: &BTreeMap<String, RegionLoad>,
+        slots: &BTreeMap<String, u32>,
+        load_ratio: Option<f64>,
     ) {
-        let balanced = balanced_shares(own_region, regions, loads);
+        let balanced = balanced_shares(own_region, regions, slots);
         match self.changed_at {
             None => self.shares = balanced,
             Some(at) if now < at + SHARE_UPDATE_INTERVAL => return,
-            Some(_) => {
-                let load = loads.get(own_region).copied().unwrap_or_default();
-                let load_ratio = load.in_progress / f64::from(load.slots.max(1));
-                let local_shares = BTreeMap::from([(own_region.to_string(), 1.0)]);
-                match load_ratio {
-                    _ if load.slots == 0 => self.step_towards(&balanced),
-                    ratio if ratio < LIGHT_LOAD_RATIO => self.step_towards(&local_shares),
-                    ratio if ratio > HEAVY_LOAD_RATIO => self.step_towards(&balanced),
-                    _ => {}
+            Some(_) => match load_ratio {
+                _ if !slots.contains_key(own_region) => self.step_towards(&balanced),
+                Some(ratio) if ratio < LIGHT_LOAD_RATIO => {
+                    self.step_towards(&BTreeMap::from([(own_region.to_string(), 1.0)]));
                 }
-            }
+                Some(ratio) if ratio > HEAVY_LOAD_RATIO => self.step_towards(&balanced),
+                Some(_) | None => {}
+            },
         }
         self.changed_at = Some(now);
     }
@@ -137,20 +130,20 @@
 fn balanced_shares(
     own_region: &str,
     regions: usize,
-    loads: &BTreeMap<String, RegionLoad>,
+    slots: &BTreeMap<String, u32>,
 ) -> BTreeMap<String, f64> {
-    let slots = |load: &RegionLoad| f64::from(load.slots);
-    let demand = loads.values().map(slots).sum::<f64>() / regions.max(1) as f64;
+    let demand = slots.values().copied().map(f64::from).sum::<f64>() / regions.max(1) as f64;
+    let own_slots = slots.get(own_region).copied().map_or(0.0, f64::from);
     let own_share = match demand > 0.0 {
-        true => (loads.get(own_region).map_or(0.0, slots) / demand).min(1.0),
+        true => (own_slots / demand).min(1.0),
         false => 1.0,
     };
-    let surplus = |load: &RegionLoad| (slots(load) - demand).max(0.0);
-    let others = || loads.iter().filter(|(name, _)| *name != own_region);
-    let total: f64 = others().map(|(_, load)| surplus(load)).sum();
+    let surplus = |slots: &u32| (f64::from(*slots) - demand).max(0.0);
+    let others = || slots.iter().filter(|(name, _)| *name != own_region);
+    let total: f64 = others().map(|(_, slots)| surplus(slots)).sum();
     let mut shares = BTreeMap::from([(own_region.to_string(), own_share)]);
     if total > 0.0 {
-        let weights = others().map(|(name, load)| (name.clone(), surplus(load) / total));
+        let weights = others().map(|(name, slots)| (name.clone(), surplus(slots) / total));
         shares.extend(weights.map(|(name, weight)| (name, weight * (1.0 - own_share))));
     }
     shares
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use plot::plot_svg;
 pub use policy::Policy;
-pub use report::{ClassReport, Report};
+pub use report::{ClassReport, RegionReport, Report};
 pub use scenario::{Change, DomainConfig, RequestClass, Scenario, Service};
 pub use simulation::run;
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -43,11 +43,38 @@
     }
 }
 
+/// Results of the callers of one region, over all classes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RegionReport {
+    /// Name of the region.
+    pub name: String,
+    /// Number of requests, without retries by callers.
+    pub offered: u32,
+    /// Requests answered within the target latency.
+    pub within_target: u32,
+    /// Runs on objects outside the working set of the endpoint.
+    pub working_set_misses: u32,
+}
+
+impl RegionReport {
+    /// Fraction of the requests that were answered within the target latency.
+    pub fn on_target_fraction(&self) -> f64 {
+        f64::from(self.within_target) / f64::from(self.offered.max(1))
+    }
+
+    /// Fraction of the requests that ran on an object outside the working set of their endpoint.
+    pub fn miss_fraction(&self) -> f64 {
+        f64::from(self.working_set_misses) / f64::from(self.offered.max(1))
+    }
+}
+
 /// Results of a run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
     /// Results of each class.
     pub classes: Vec<ClassReport>,
+    /// Results by region of the caller, in the order of the names.
+    pub regions: Vec<RegionReport>,
     /// Largest number of requests that a cold endpoint received in one second.
     pub cold_peak_per_second: u32,
     /// Requests that reached a draining or evacuated endpoint after entries must have been told of
@@ -81,6 +108,16 @@
                 c.cross_region
             )?;
         }
+        for r in &self.regions {
+            writeln!(
+                f,
+                "{:<18} asked {:>6}  on target {:.3}  unknown {:.3}",
+                r.name,
+                r.offered,
+                r.on_target_fraction(),
+                r.miss_fraction(),
+            )?;
+        }
         write!(
             f,
             "cold peak {}, misplaced {}, repeats {}, largest shift {:.3}",
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -5,7 +5,7 @@
 use crate::endpoint::Endpoint;
 use crate::entry::Entry;
 use crate::event::{Event, Request};
-use crate::{ClassReport, Policy, Report, Scenario};
+use crate::{ClassReport, Policy, RegionReport, Report, Scenario};
 use mangospindle_dispatch::DispatchSettings;
 use mangospindle_fleet::{EndpointRecord, EndpointState};
 use rand::rngs::SmallRng;
@@ -98,6 +98,7 @@
                     ..ClassReport::default()
                 })
                 .collect(),
+            regions: region_reports(scenario),
             ..Report::default()
         };
         Simulation {
@@ -118,6 +119,18 @@
         }
     }
 
+    /// Updates the results of the region that a failure domain belongs to.
+    fn update_region<F>(&mut self, domain: usize, update: F)
+    where
+        F: FnOnce(&mut RegionReport),
+    {
+        let region = &self.scenario.domains[domain].region;
+        let mut reports = self.report.regions.iter_mut();
+        if let Some(report) = reports.find(|r| r.name == *region) {
+            update(report);
+        }
+    }
+
     fn schedule(&mut self, after: Duration, event: Event) {
         self.sequence += 1;
         self.events.insert((self.now + after, self.sequence), event);
@@ -207,6 +220,16 @@
 }
 
 /// Returns the index of the first failure domain in the same region, as a number for the region.
+/// Empty results of each region.
+fn region_reports(scenario: &Scenario) -> Vec<RegionReport> {
+    let names: BTreeSet<&String> = scenario.domains.iter().map(|d| &d.region).collect();
+    let report = |name: &String| RegionReport {
+        name: name.clone(),
+        ..RegionReport::default()
+    };
+    names.into_iter().map(report).collect()
+}
+
 fn region_index(scenario: &Scenario, domain: usize) -> u64 {
     let region = &scenario.domains[domain].region;
     let position = scenario.domains.iter().position(|p| p.region == *region);
--- a/crates/emulator/src/simulation/endpoints.rs
+++ b/crates/emulator/src/simulation/endpoints.rs
@@ -57,6 +57,8 @@
         let class = self.requests[request_index].class;
         if !in_working_set {
             self.report.classes[class].working_set_misses += 1;
+            let domain = self.requests[request_index].domain;
+            self.update_region(domain, |r| r.working_set_misses += 1);
         }
         let from = &self.scenario.domains[self.requests[request_index].domain].region;
         let to = &self.scenario.domains[self.endpoints[endpoint_index].domain].region;
--- a/crates/emulator/src/simulation/requests.rs
+++ b/crates/emulator/src/simulation/requests.rs
@@ -30,6 +30,7 @@
             done: false,
         });
         self.report.classes[class].offered += 1;
+        self.update_region(domain, |r| r.offered += 1);
         self.counts_by_second[self.now.as_secs() as usize].1 += 1;
         self.schedule(c.deadline, Event::Deadline { request });
         self.dispatch(request);
@@ -150,6 +151,8 @@
             false => report.late += 1,
         }
         self.counts_by_second[r.submitted_at.as_secs() as usize].0 += u32::from(on_target);
+        let domain = r.domain;
+        self.update_region(domain, |r| r.within_target += u32::from(on_target));
     }
 
     pub(super) fn report_outcome(&mut self, request_index: usize, outcome: Outcome) {
