Choose an endpoint among a bounded number of candidates

Cause: for each request the dispatcher went over all endpoints of the service up to four times (usable regions, loads of the regions, candidates of the selected region, and of all), cloned their keys and ordered all of a region by preference.

Change: the endpoints of a service are kept by region, and the eight that an affinity key prefers are kept until an endpoint joins or leaves the region. A region counts as usable at the first endpoint that can receive the request. Requests without affinity key compare 16 endpoints that follow a random one. The shares of the regions are computed when they are due, once a second. Which endpoints a key prefers is unchanged, so entries of the build before place objects alike. A health check is now asked for when a request reaches the endpoint in its order of preference, no longer by each request to the service. If no endpoint of a region can receive a request, all are gone over.

Tests: preferences_depend_only_on_the_present_endpoints, less_preferred_endpoints_are_used_when_the_others_leave and requests_for_an_object_share_two_endpoints. They pass on the code before, too: they guard against an order that outlives a change.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,3 +1,4 @@
+mod candidates;
 mod check_health;
 mod choose;
 mod eligibility;
@@ -5,6 +6,7 @@
 mod probe_targets;
 mod record_notices;
 mod record_outcome;
+mod region_endpoints;
 mod service;
 mod update;
 
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -1,9 +1,7 @@
 use super::Dispatcher;
 use super::endpoint::Endpoint;
 use crate::{Choice, EndpointKey, Refusal, RefusalReason, Request, SendTicket};
-use mangospindle_model::rendezvous_score;
 use rand::Rng;
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -27,11 +25,6 @@
 /// set.
 const MISS_COST_FACTOR: f64 = 2.0;
 
-/// Number of endpoints in a region that share the requests for one affinity key. With many entries,
-/// each one knows little about an endpoint's load. If requests for a key could go to any endpoint
-/// that seems idle, every endpoint would receive more objects than fit into its working set.
-const ENDPOINTS_PER_AFFINITY_KEY: usize = 2;
-
 /// Lower bound of the wait limit, as a fraction of the mean service time. Without any queue, slots
 /// would be idle between two requests.
 const MIN_WAIT_FRACTION: f64 = 0.3;
@@ -133,13 +126,10 @@
     /// Returns the best endpoint of the region selected by the shares, or of any region if that one
     /// has no candidate.
     fn best_candidate(&mut self, now: Duration, request: &Request<'_>) -> Option<Candidate> {
+        self.update_shares(now, request.service);
         let regions = self.usable_regions(now, request);
-        let own_region = self.settings.region().to_string();
-        let count = self.settings.region_count();
-        let slots = self.region_slots(now, request.service);
+        let own_region = self.settings.region();
         let service = self.services.get_mut(request.service)?;
-        let load_ratio = service.region_load.load_ratio();
-        (service.shares).update(now, &own_region, count, &slots, load_ratio);
         let selected = match request.tried.is_empty() {
             true => service
                 .shares
@@ -150,22 +140,27 @@
                 .find(|r| **r == own_region)
                 .map(String::as_str),
         };
-        let selected = selected.map(str::to_string);
-        let in_selected =
-            selected.and_then(|region| self.best_candidate_in(now, request, Some(&region)));
-        in_selected.or_else(|| self.best_candidate_in(now, request, None))
+        let selected: Vec<String> = selected.map(str::to_string).into_iter().collect();
+        let in_selected = self.best_candidate_in(now, request, &selected);
+        in_selected.or_else(|| self.best_candidate_in(now, request, &regions))
     }
 
-    /// Regions that have a candidate endpoint for the request.
-    fn usable_regions(&mut self, now: Duration, request: &Request<'_>) -> Vec<String> {
-        let keys = self.candidate_keys(now, request);
-        let mut regions: Vec<String> = (keys.iter())
-            .filter_map(|key| self.endpoints.get(key))
-            .map(|e| self.settings.region_of(&e.failure_domain).to_string())
-            .collect();
-        regions.sort_unstable();
-        regions.dedup();
-        regions
+    /// Adjusts the shares of the regions if that is due.
+    fn update_shares(&mut self, now: Duration, service: &str) {
+        let due = self
+            .services
+            .get(service)
+            .is_some_and(|s| s.shares.is_due(now));
+        if !due {
+            return;
+        }
+        let own_region = self.settings.region().to_string();
+        let count = self.settings.region_count();
+        let slots = self.region_slots(now, service);
+        if let Some(service) = self.services.get_mut(service) {
+            let load_ratio = service.region_load.load_ratio();
+            (service.shares).update(now, &own_region, count, &slots, load_ratio);
+        }
     }
 
     /// Slots of the healthy endpoints of a service in each region.
@@ -186,45 +181,21 @@
         e.is_usable(now, &self.evacuated) && !e.needs_probe()
     }
 
-    /// Returns the endpoint with the lowest cost in a region, or in all regions.
+    /// Returns the endpoint with the lowest cost in the regions.
     fn best_candidate_in(
         &mut self,
         now: Duration,
         request: &Request<'_>,
-        region: Option<&str>,
+        regions: &[String],
     ) -> Option<Candidate> {
-        let mut keys = self.candidate_keys(now, request);
-        keys.retain(|key| {
-            let e = self.endpoints.get(key);
-            e.is_some_and(|e| {
-                region.is_none_or(|r| r == self.settings.region_of(&e.failure_domain))
-            })
-        });
-        let preferred = match request.affinity {
-            Some(affinity_key) => {
-                self.retain_preferred(affinity_key, &mut keys);
-                keys.first().copied()
-            }
-            None => None,
-        };
+        let keys = self.candidates_in(now, request, regions);
+        let preferred = request.affinity.and(keys.first().copied());
         let candidates = keys
             .into_iter()
             .filter_map(|key| self.evaluate(now, key, request, preferred == Some(key)));
         candidates.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
-    /// Keeps only the preferred endpoints of an affinity key, in order of preference. All entries
-    /// prefer the same ones, so that the object soon is in their working sets.
-    fn retain_preferred(&self, affinity_key: u64, keys: &mut Vec<EndpointKey>) {
-        let score = |key: &EndpointKey| {
-            let address = self.endpoints.get(key).map(|e| e.address);
-            let address_bits = address.map_or(0, |a| u64::from(a.port()) << 32 | ip_bits(a.ip()));
-            rendezvous_score(affinity_key, address_bits)
-        };
-        keys.sort_by_cached_key(|key| Reverse(score(key)));
-        keys.truncate(ENDPOINTS_PER_AFFINITY_KEY);
-    }
-
     fn evaluate(
         &self,
         now: Duration,
@@ -322,10 +293,3 @@
         }
     }
 }
-
-fn ip_bits(ip: std::net::IpAddr) -> u64 {
-    match ip {
-        std::net::IpAddr::V4(ip) => u64::from(u32::from(ip)),
-        std::net::IpAddr::V6(ip) => u128::from(ip) as u64,
-    }
-}
--- a/crates/dispatch/src/dispatcher/eligibility.rs
+++ b/crates/dispatch/src/dispatcher/eligibility.rs
@@ -26,20 +26,13 @@
 const MAX_LIMITED_INTERVAL: Duration = Duration::from_secs(120);
 
 impl Dispatcher {
-    /// Endpoints that may receive the request now.
-    pub(super) fn candidate_keys(
+    /// Whether an endpoint may receive the request now.
+    pub(super) fn can_receive(
         &mut self,
         now: Duration,
+        key: EndpointKey,
         request: &Request<'_>,
-    ) -> Vec<EndpointKey> {
-        let service = self.services.get(request.service);
-        let keys = service.map_or(Vec::new(), |s| s.endpoints.clone());
-        keys.into_iter()
-            .filter(|key| self.can_receive(now, *key, request))
-            .collect()
-    }
-
-    fn can_receive(&mut self, now: Duration, key: EndpointKey, request: &Request<'_>) -> bool {
+    ) -> bool {
         if request.tried.contains(&key) {
             return false;
         }
--- a/crates/dispatch/src/dispatcher/service.rs
+++ b/crates/dispatch/src/dispatcher/service.rs
@@ -1,8 +1,10 @@
+use super::region_endpoints::RegionEndpoints;
 use crate::region_load::RegionLoadEstimate;
 use crate::region_shares::RegionShares;
 use crate::service_time_estimate::ServiceTimeEstimate;
 use crate::{DispatchSettings, EndpointKey};
 use mangospindle_routing::RetryBudget;
+use std::collections::BTreeMap;
 
 /// Fraction of the configured retry budget that is used. The rest covers entries that restart with
 /// a full budget.
@@ -12,6 +14,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Service {
     pub(crate) endpoints: Vec<EndpointKey>,
+    /// The endpoints of each region, by its name.
+    pub(crate) regions: BTreeMap<String, RegionEndpoints>,
     pub(crate) shares: RegionShares,
     /// Load of the endpoints in this entry's region.
     pub(crate) region_load: RegionLoadEstimate,
@@ -28,6 +32,7 @@
         let slack = BUDGET_FRACTION * settings.retry_slack / f64::from(entries.max(1));
         Service {
             endpoints: Vec::new(),
+            regions: BTreeMap::new(),
             shares: RegionShares::default(),
             region_load: RegionLoadEstimate::default(),
             service_time: ServiceTimeEstimate::default(),
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -6,6 +6,7 @@
 use mangospindle_model::RouteTable;
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -128,10 +129,28 @@
                 .or_insert_with(|| Service::new(&self.settings, entries));
             service.endpoints = keys;
         }
+        self.group_by_region();
         for (name, service) in &mut self.services {
             let routes = self.routes.routes.values();
             let routes_to_service = routes.filter(|r| r.targets.iter().any(|t| t.service == *name));
             service.top_priority = routes_to_service.map(|r| r.priority).min().unwrap_or(0);
         }
     }
+    /// Assigns the endpoints of each service to their regions. A region without endpoints is forgotten.
+    fn group_by_region(&mut self) {
+        for service in self.services.values_mut() {
+            let mut regions: BTreeMap<&str, Vec<(EndpointKey, SocketAddr)>> = BTreeMap::new();
+            for key in &service.endpoints {
+                if let Some(e) = self.endpoints.get(key) {
+                    let region = self.settings.region_of(&e.failure_domain);
+                    regions.entry(region).or_default().push((*key, e.address));
+                }
+            }
+            (service.regions).retain(|name, _| regions.contains_key(name.as_str()));
+            for (name, endpoints) in regions {
+                let region = service.regions.entry(name.to_string()).or_default();
+                region.replace(endpoints.into_iter());
+            }
+        }
+    }
 }
--- a/crates/dispatch/src/region_shares.rs
+++ b/crates/dispatch/src/region_shares.rs
@@ -32,6 +32,11 @@
 }
 
 impl RegionShares {
+    /// Whether an update of the shares has an effect now.
+    pub(crate) fn is_due(&self, now: Duration) -> bool {
+        (self.changed_at).is_none_or(|at| now >= at + SHARE_UPDATE_INTERVAL)
+    }
+
     /// Adjusts the shares, at most once per [`SHARE_UPDATE_INTERVAL`]. `slots` are those of each region that
     /// has any, and `load_ratio` is the load per slot that requests met in this entry's region, if it is
     /// known.
@@ -43,10 +48,12 @@
         slots: &BTreeMap<String, u32>,
         load_ratio: Option<f64>,
     ) {
+        if !self.is_due(now) {
+            return;
+        }
         let balanced = balanced_shares(own_region, regions, slots);
         match self.changed_at {
             None => self.shares = balanced,
-            Some(at) if now < at + SHARE_UPDATE_INTERVAL => return,
             Some(_) => match load_ratio {
                 _ if !slots.contains_key(own_region) => self.step_towards(&balanced),
                 Some(ratio) if ratio < LIGHT_LOAD_RATIO => {
--- a/crates/dispatch/tests/choices/main.rs
+++ b/crates/dispatch/tests/choices/main.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod health_checks;
 mod notices;
+mod preferences;
 mod restarts;
 mod stops;
 mod support;
