Poll at once after each election, and ask for the whole list when a difference fails

Cause 1: PollSchedule forgot to note that a replica no longer leads, because the assignment stood behind a short-circuit. A replica that led a second time waited for its interval before it polled the platform's list, while nobody else did.

Cause 2: a replica that got a difference whose checksum did not fit named the same version again and got the same difference, until the list changed or was polled anew. It now names no version once, and gets the whole list. A difference to a list that was replaced meanwhile is still dropped without that.

Messages are unchanged.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -43,6 +43,8 @@
     entries: EntryTable,
     list: Option<EndpointList>,
     history: EndpointHistory,
+    /// Whether a difference did not lead to the list of its sender, so that the whole list is needed.
+    whole_list_needed: bool,
     peers: BTreeMap<PeerKey, Peer>,
     sent_lists: SentLists,
     /// When the first announcement was received.
@@ -100,6 +102,7 @@
             None => {}
         }
         self.list = Some(list);
+        self.whole_list_needed = false;
     }
 
     fn is_live(now: Duration, known: &KnownEntry) -> bool {
--- a/crates/fleet/src/fleet/merge.rs
+++ b/crates/fleet/src/fleet/merge.rs
@@ -12,13 +12,19 @@
         ExchangeRequest {
             entry: None,
             wants_entries,
-            known_list: self.list.as_ref().map_or(0, |l| l.digest),
+            known_list: self.known_list(),
             differences: Some(KnownVersions {
                 entries: known.and_then(|p| p.entries.version()),
             }),
         }
     }
 
+    /// Digest of the list to which a difference may apply; zero if the whole list is needed.
+    fn known_list(&self) -> u64 {
+        let known = self.list.as_ref().filter(|_| !self.whole_list_needed);
+        known.map_or(0, |l| l.digest)
+    }
+
     /// Merges the view of another replica. `asked_at` is a time before the request was sent, so
     /// that no information is treated as newer than it is.
     pub fn merge(
@@ -87,9 +93,10 @@
                 let version = (reply.list_digest, checksum);
                 // A difference to a list that has been replaced meanwhile is of no use. The next
                 // request names the present one.
-                let list = known.with_difference(difference, read_at, age, version);
-                if let Some(list) = list {
-                    self.replace_list(list);
+                let applies = difference.base == known.digest;
+                match known.with_difference(difference, read_at, age, version) {
+                    Some(list) => self.replace_list(list),
+                    None => self.whole_list_needed |= applies,
                 }
             }
             (None, None, Some(known)) if known.digest == reply.list_digest => {
--- a/crates/fleet/src/poll_schedule.rs
+++ b/crates/fleet/src/poll_schedule.rs
@@ -63,7 +63,8 @@
     /// one.
     pub fn is_due(&mut self, now: Duration, role: PollRole, list_age: Option<Duration>) -> bool {
         let is_leader = role == PollRole::Leader;
-        let newly_elected = is_leader && !std::mem::replace(&mut self.was_leader, is_leader);
+        let was_leader = std::mem::replace(&mut self.was_leader, is_leader);
+        let newly_elected = is_leader && !was_leader;
         let max_age = match role {
             PollRole::Leader => Duration::ZERO,
             PollRole::Follower { rank } => STALE_LIST_AGE + TAKEOVER_STEP * rank as u32,
--- a/crates/fleet/tests/poll_schedule.rs
+++ b/crates/fleet/tests/poll_schedule.rs
@@ -135,3 +135,18 @@
     let later = now + Duration::from_millis(700);
     assert!(schedule.is_due(later, PollRole::Leader, fresh));
 }
+
+/// Guards against a replica that leads for the second time and waits for its interval: nobody else polls in
+/// that time.
+#[test]
+fn leaders_poll_at_once_each_time_they_are_elected() {
+    let now = Duration::from_secs(100);
+    let fresh = Some(Duration::from_millis(100));
+    let mut schedule = PollSchedule::new(Vec::new(), 47.0);
+    let follower = PollRole::Follower { rank: 0 };
+    assert!(schedule.is_due(now, PollRole::Leader, fresh));
+    let deposed = now + Duration::from_millis(100);
+    assert!(!schedule.is_due(deposed, follower, fresh));
+    let elected_again = now + Duration::from_millis(300);
+    assert!(schedule.is_due(elected_again, PollRole::Leader, fresh));
+}
