--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -219,7 +219,6 @@
     }
 }
 
-/// Returns the index of the first failure domain in the same region, as a number for the region.
 /// Empty results of each region.
 fn region_reports(scenario: &Scenario) -> Vec<RegionReport> {
     let names: BTreeSet<&String> = scenario.domains.iter().map(|d| &d.region).collect();
@@ -230,6 +229,7 @@
     names.into_iter().map(report).collect()
 }
 
+/// Returns the index of the first failure domain in the same region, as a number for the region.
 fn region_index(scenario: &Scenario, domain: usize) -> u64 {
     let region = &scenario.domains[domain].region;
     let position = scenario.domains.iter().position(|p| p.region == *region);
