Skip late second responses of endpoints in health checks too

Cause: an endpoint may send a response again when the next request arrives on the connection. A health check had no request id and took that response for its own; the response to the health check, which has no id either, was then taken for the response to the next order on the connection.

Now each exchange says which id it expects. A request without an id skips responses with one, a request of a caller skips other ids and successes without one. Requests that may run once only are not sent on connections whose last response had no id. A health check counts only if the expected instance answers. Health checks of the product's own entry carry an id.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -25,6 +25,8 @@
     /// When the idle connection expires, on the local clock. Set if the peer announced an idle
     /// timeout.
     pub expires_at: Option<Duration>,
+    /// Whether the last response had the id of its request; also true before the first response.
+    pub last_response_identified: bool,
 }
 
 impl Connection {
@@ -43,6 +45,7 @@
             validated_at: now,
             last_used_at: now,
             expires_at: None,
+            last_response_identified: true,
         })
     }
 
--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -1,5 +1,8 @@
 use crate::codec::client_codec;
-use crate::{BodyFraming, Connection, ExchangeError, Lease, RequestWriter, ResponseHead};
+use crate::expected_id::response_id;
+use crate::{
+    BodyFraming, Connection, ExchangeError, ExpectedId, Lease, RequestWriter, ResponseHead,
+};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec};
 use actix_web::http::{Method, StatusCode};
 use bytes::Bytes;
@@ -43,9 +46,6 @@
     Done,
 }
 
-/// Header with the id of the request that a response belongs to.
-const REQUEST_ID: &str = "x-request-id";
-
 /// One request and its response on one connection.
 ///
 /// The request is written while the response is read, so that an early response is detected.
@@ -59,8 +59,7 @@
     method: Method,
     read_state: ReadState,
     keep_alive: bool,
-    /// Responses with another request id are skipped.
-    expected_id: Option<String>,
+    expected_id: ExpectedId,
     accepts_close_delimited: bool,
 }
 
@@ -69,7 +68,12 @@
     T: Copy + Eq + Hash,
 {
     /// Creates an exchange on an open connection without unread bytes.
-    pub fn new(lease: Lease<T>, method: Method, request_writer: RequestWriter) -> Self {
+    pub fn new(
+        lease: Lease<T>,
+        method: Method,
+        request_writer: RequestWriter,
+        expected_id: ExpectedId,
+    ) -> Self {
         Exchange {
             lease: Some(lease),
             request_writer,
@@ -77,18 +81,11 @@
             method,
             read_state: ReadState::Head(client_codec()),
             keep_alive: false,
-            expected_id: None,
+            expected_id,
             accepts_close_delimited: false,
         }
     }
 
-    /// Skips responses with a request id other than `id`. An endpoint may respond twice to a
-    /// request, and the second response then arrives in place of the next one.
-    pub fn expect_request_id(mut self, id: &str) -> Self {
-        self.expected_id = Some(id.to_string());
-        self
-    }
-
     /// Accepts a response whose body ends when the peer closes the connection.
     pub fn accept_close_delimited(mut self) -> Self {
         self.accepts_close_delimited = true;
@@ -118,6 +115,7 @@
         if let Some(connection) = self.lease.as_mut().and_then(Lease::connection) {
             connection.validated_at = clock.now();
             connection.last_used_at = connection.validated_at;
+            connection.last_response_identified = response_id(&head.headers).is_some();
             let usable_for = head
                 .idle_timeout
                 .map(|t| t.saturating_sub(IDLE_CLOSE_MARGIN).max(t / 2));
@@ -184,7 +182,7 @@
     fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<HeadResult> {
         for _ in 0..MAX_READS_PER_TURN {
             match self.decode_head()? {
-                Some(head) if self.is_stale_response(&head) => {
+                Some(head) if !self.expected_id.matches(&head) => {
                     self.skip_stale_response(&head)?;
                     continue;
                 }
@@ -201,15 +199,6 @@
         Poll::Pending
     }
 
-    /// Whether a response belongs to an earlier request on the connection.
-    fn is_stale_response(&self, head: &ResponseHead) -> bool {
-        let received = head.headers.get(REQUEST_ID).map(|v| v.as_bytes());
-        match (&self.expected_id, received) {
-            (Some(expected), Some(received)) => expected.as_bytes() != received,
-            _ => false,
-        }
-    }
-
     /// Continues after the head of a response to an earlier request.
     fn skip_stale_response(&mut self, head: &ResponseHead) -> Result<(), ExchangeError> {
         self.read_state = match (
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -8,14 +8,17 @@
 //! - A connection carries one request at a time.
 //! - A connection is reused only after the complete request was sent and the complete response was
 //!   read, with no byte left over. Otherwise it is closed.
+//! - A response with the id of another request is skipped.
 //! - A response whose end is marked neither by its length nor by its last chunk is an error, unless
 //!   the caller accepts close-delimited responses.
 
 mod body_error;
 mod codec;
 mod connection;
+mod connection_requirement;
 mod exchange;
 mod exchange_error;
+mod expected_id;
 mod headers;
 mod lease;
 mod pool;
@@ -26,8 +29,10 @@
 
 pub use body_error::BodyError;
 pub use connection::Connection;
+pub use connection_requirement::ConnectionRequirement;
 pub use exchange::{Exchange, HeadResult};
 pub use exchange_error::ExchangeError;
+pub use expected_id::ExpectedId;
 pub use headers::{end_to_end_headers, total_header_bytes};
 pub use lease::Lease;
 pub use pool::Pool;
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -1,4 +1,4 @@
-use crate::{Connection, Lease, PoolLookup};
+use crate::{Connection, ConnectionRequirement, Lease, PoolLookup};
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,18 +33,23 @@
         now: Duration,
         validated_after: Duration,
     ) -> Option<Lease<T>> {
-        self.find(target, now, validated_after).lease
+        let requirement = ConnectionRequirement {
+            validated_after,
+            identified: false,
+        };
+        self.find(target, now, requirement).lease
     }
 
-    /// Like [`Pool::acquire`], but also tells whether the peer closed a connection early.
+    /// Like [`Pool::acquire`], for a connection that meets a requirement. Also tells whether the peer
+    /// closed a connection early.
     pub fn find(
         self: &Arc<Self>,
         target: T,
         now: Duration,
-        validated_after: Duration,
+        requirement: ConnectionRequirement,
     ) -> PoolLookup<T> {
         let mut closed_early = false;
-        while let Some(connection) = self.pop_idle(target, validated_after) {
+        while let Some(connection) = self.pop_idle(target, requirement) {
             let expired = connection.expires_at.is_some_and(|until| now >= until);
             if connection.is_reusable() && !expired {
                 let lease = Lease::from_idle(Arc::clone(self), target, connection);
@@ -62,10 +67,11 @@
         }
     }
 
-    fn pop_idle(&self, target: T, validated_after: Duration) -> Option<Connection> {
+    fn pop_idle(&self, target: T, requirement: ConnectionRequirement) -> Option<Connection> {
         let mut idle = self.lock();
         let list = idle.get_mut(&target)?;
-        list.pop_if(|c| c.validated_at >= validated_after)
+        let index = list.iter().rposition(|c| requirement.is_met_by(c))?;
+        Some(list.remove(index))
     }
 
     /// Acquires the connection whose last validation is the oldest, to check or close it.
--- a/crates/client/tests/pool.rs
+++ b/crates/client/tests/pool.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
-use mangospindle_client::{Connection, Pool};
+use mangospindle_client::{Connection, ConnectionRequirement, Pool};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -96,7 +96,7 @@
     let pool = Pool::new(Box::new(|_| {}));
     for case in cases {
         let peer = add_idle(&pool, &listener, address, case.idle_for, case.event).await;
-        let found = pool.find(1, NOW, Duration::ZERO);
+        let found = pool.find(1, NOW, ConnectionRequirement::default());
         assert_eq!(found.lease.is_some(), case.usable, "{}", case.name);
         assert_eq!(found.closed_early, case.closed_early, "{}", case.name);
         drop((found, peer));
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -2,8 +2,8 @@
 
 pub(crate) use crate::target::Target;
 pub(crate) use mangospindle_client::{
-    BodyError, BodyFraming, BodyStream, Connection, ExchangeError, RequestHead, RequestWriter,
-    ResponseHead,
+    BodyError, BodyFraming, BodyStream, Connection, ExchangeError, ExpectedId, RequestHead,
+    RequestWriter, ResponseHead,
 };
 
 /// Pool of connections to endpoints and to other entries.
--- a/crates/entry/src/fetch.rs
+++ b/crates/entry/src/fetch.rs
@@ -1,7 +1,8 @@
 //! Sends the short requests that this entry originates: health checks, probes and configuration
 //! requests.
 
-use crate::client::{BodyFraming, Exchange, Lease, RequestHead, RequestWriter};
+use crate::client::{BodyFraming, Exchange, ExpectedId, Lease, RequestHead, RequestWriter};
+use crate::headers::{self, REQUEST_ID};
 use crate::server_state::ServerState;
 use actix_web::http::Method;
 use actix_web::http::header::HeaderMap;
@@ -18,13 +19,18 @@
     path: &str,
     max_bytes: usize,
 ) -> Option<Bytes> {
-    let head = RequestHead {
+    // The connection also carries requests. Without an id, a second response to one of them could not be
+    // told from the response to this one.
+    let id = format!("fetch-{:016x}", rand::random::<u64>());
+    let mut head = RequestHead {
         method: Method::GET,
         path: path.to_string(),
         headers: HeaderMap::new(),
     };
+    headers::set(&mut head.headers, REQUEST_ID, &id);
     let writer = RequestWriter::new(head, &address.to_string(), BodyFraming::None, None).ok()?;
-    let mut exchange = Exchange::new(lease, Method::GET, writer);
+    let expected_id = ExpectedId::Optional(id);
+    let mut exchange = Exchange::new(lease, Method::GET, writer, expected_id);
     let response = exchange.send_request(&*shared.clock).await.ok()?;
     let mut body = BytesMut::new();
     while let Some(chunk) = poll_fn(|cx| exchange.poll_chunk(cx)).await {
--- a/crates/entry/src/upstream_call.rs
+++ b/crates/entry/src/upstream_call.rs
@@ -1,4 +1,6 @@
-use crate::client::{Exchange, Lease, RequestHead, RequestWriter, ResponseHead, Target};
+use crate::client::{
+    Exchange, ExpectedId, Lease, RequestHead, RequestWriter, ResponseHead, Target,
+};
 use crate::connect::{Freshness, lease_connection};
 use crate::headers::{self, DEADLINE, REQUEST_ID};
 use crate::outbound_request::OutboundRequest;
@@ -71,7 +73,12 @@
         };
         Ok(UpstreamCall {
             reused: lease.is_reused(),
-            exchange: Some(Exchange::new(lease, outbound.method.clone(), upload)),
+            exchange: Some(Exchange::new(
+                lease,
+                outbound.method.clone(),
+                upload,
+                ExpectedId::Optional(cx.id.clone()),
+            )),
             permit,
             sent_at: now,
         })
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,8 +13,8 @@
 use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream};
 use mangospindle_client::{
-    BodyFraming, BodyStream, Exchange, ExchangeError, RequestHead, RequestWriter, ResponseHead,
-    end_to_end_headers,
+    BodyFraming, BodyStream, Exchange, ExchangeError, ExpectedId, RequestHead, RequestWriter,
+    ResponseHead, end_to_end_headers,
 };
 use mangospindle_dispatch::{Choice, Outcome};
 use std::future::poll_fn;
@@ -97,9 +97,10 @@
         guard.finish(Outcome::Cancelled);
         return AttemptResult::Unreachable;
     };
-    let mut exchange = Exchange::new(lease, context.inbound.method.clone(), request_writer)
-        .expect_request_id(context.id)
-        .accept_close_delimited();
+    let method = context.inbound.method.clone();
+    let expected_id = ExpectedId::in_success(context.id);
+    let mut exchange =
+        Exchange::new(lease, method, request_writer, expected_id).accept_close_delimited();
     let head = exchange.send_request(&*gateway.clock);
     match tokio::time::timeout(remaining, head).await {
         Ok(Ok(head)) => handle_response(gateway, context, choice, head, exchange, guard).await,
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -2,7 +2,7 @@
 
 use crate::connection_target::ConnectionTarget;
 use crate::gateway::Gateway;
-use mangospindle_client::{Connection, Lease, PoolLookup};
+use mangospindle_client::{Connection, ConnectionRequirement, Lease, PoolLookup};
 use mangospindle_dispatch::EndpointKey;
 use std::io;
 use std::net::SocketAddr;
@@ -38,12 +38,15 @@
     time_left: Duration,
 ) -> Result<Lease<ConnectionTarget>, ConnectError> {
     let now = gateway.now();
-    let validated_after = match idempotent {
-        true => Duration::ZERO,
-        false => now.saturating_sub(MAX_VALIDATION_AGE),
+    let requirement = match idempotent {
+        true => ConnectionRequirement::default(),
+        false => ConnectionRequirement {
+            validated_after: now.saturating_sub(MAX_VALIDATION_AGE),
+            identified: true,
+        },
     };
     let target = ConnectionTarget::Endpoint(endpoint);
-    match gateway.pool.find(target, now, validated_after) {
+    match gateway.pool.find(target, now, requirement) {
         PoolLookup {
             lease: Some(lease), ..
         } => Ok(lease),
--- a/crates/gateway/src/health_checks.rs
+++ b/crates/gateway/src/health_checks.rs
@@ -7,7 +7,7 @@
 use crate::gateway::Gateway;
 use actix_web::http::header::HeaderMap;
 use actix_web::http::{Method, StatusCode};
-use mangospindle_client::{BodyFraming, Exchange, Lease, RequestHead, RequestWriter};
+use mangospindle_client::{BodyFraming, Exchange, ExpectedId, Lease, RequestHead, RequestWriter};
 use mangospindle_dispatch::{HealthCheck, HealthReport};
 use mangospindle_telemetry::event;
 use std::rc::Rc;
@@ -65,15 +65,19 @@
     let Ok(writer) = RequestWriter::new(head, &host, BodyFraming::None, None) else {
         return HealthReport::Unanswered;
     };
-    let mut exchange = Exchange::new(lease, Method::GET, writer);
+    let mut exchange = Exchange::new(lease, Method::GET, writer, ExpectedId::Absent);
     let Ok(head) = exchange.send_request(&*gateway.clock).await else {
         return HealthReport::Unanswered;
     };
     (gateway.paths.borrow_mut()).record_response(gateway.now());
     drain_body(exchange).await;
-    match gateway.protocol.response_metadata(&head).misdirected {
-        true => HealthReport::Unanswered,
-        false => HealthReport::Answered {
+    let misdirected = gateway.protocol.response_metadata(&head).misdirected;
+    match gateway.protocol.health_instance(&head) {
+        _ if misdirected => HealthReport::Unanswered,
+        // Only a rejection may leave out the instance, so this is not the response to a health check.
+        None if head.status == StatusCode::OK => HealthReport::Unanswered,
+        Some(instance) if instance != check.instance => HealthReport::Unanswered,
+        _ => HealthReport::Answered {
             healthy: head.status == StatusCode::OK,
             cold_for: gateway.protocol.health_cold_for(&head),
         },
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -38,6 +38,9 @@
     /// Sets the header that tells the entry to which a request is relayed how much time is left.
     fn set_time_left(&self, headers: &mut HeaderMap, time_left: Duration);
 
+    /// The instance that responded to a health check, if it tells that.
+    fn health_instance<'a>(&self, head: &'a ResponseHead) -> Option<&'a str>;
+
     /// How long an endpoint stays cold according to its response to a health check, if it tells that.
     fn health_cold_for(&self, head: &ResponseHead) -> Option<Duration>;
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use crate::send_guard::SendGuard;
 use actix_web::http::header::{HeaderName, HeaderValue};
 use mangospindle_client::{
-    Connection, Exchange, ExchangeError, Lease, ResponseHead, end_to_end_headers,
+    Connection, Exchange, ExchangeError, ExpectedId, Lease, ResponseHead, end_to_end_headers,
 };
 use mangospindle_model::{ErrorKind, Route};
 use mangospindle_telemetry::event;
@@ -164,7 +164,7 @@
         return RelayResult::Unreachable;
     };
     let method = context.inbound.method.clone();
-    let mut exchange = Exchange::new(lease, method, writer).expect_request_id(context.id);
+    let mut exchange = Exchange::new(lease, method, writer, ExpectedId::in_success(context.id));
     let head = exchange.send_request(&*gateway.clock);
     let head = match tokio::time::timeout(time_left, head).await {
         Ok(Ok(head)) => head,
