Return to service when the disk of a replica works again

Cause: after its first failed write a replica stayed out of service until its process was restarted, and nothing restarted it. Now it opens its data directory again and continues from what it reads, like a process that has just started. The thread that has the directory open ends first; votes, acknowledgments and messages from before the failure are dropped.

A failed sync needs more care: the bytes may be readable and still never reach the disk, also after a later sync that succeeds. Opening a directory now writes the last segment again as a new file.

The test of a failed disk asked for a restart by hand. It now checks that the replica takes no part while the disk fails, returns without a restart once it works, stores what it acknowledges, and still starts again.

--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// Maximum number of writes that share one sync. Bounds the latency of the first write of a batch.
@@ -52,13 +53,15 @@
 /// Writes that arrive during a sync form a batch and share the next sync.
 #[derive(Debug)]
 pub(crate) struct DiskWriter {
-    writes: Sender<(u64, DiskWrite)>,
+    /// `None` once it is closed.
+    writes: Option<Sender<(u64, DiskWrite)>>,
+    thread: Option<JoinHandle<()>>,
     last_number: u64,
 }
 
 impl DiskWriter {
-    /// Starts the thread, which ends when this value is dropped. `on_batch` is called after each
-    /// batch. After a call with an error, nothing more is written.
+    /// Starts the thread, which ends when this value is closed or dropped. `on_batch` is called after
+    /// each batch. After a call with an error, nothing more is written.
     pub(crate) fn start<F>(
         wal: Wal,
         audit: AuditFile,
@@ -70,11 +73,12 @@
     {
         let (writes, receiver) = mpsc::channel();
         let mut disk_thread = DiskThread { wal, audit, clock };
-        std::thread::Builder::new()
+        let thread = std::thread::Builder::new()
             .name("disk".to_string())
             .spawn(move || disk_thread.run(&receiver, &on_batch))?;
         Ok(DiskWriter {
-            writes,
+            writes: Some(writes),
+            thread: Some(thread),
             last_number: 0,
         })
     }
@@ -82,10 +86,19 @@
     /// Queues a write and returns its number.
     pub(crate) fn submit(&mut self, write: DiskWrite) -> u64 {
         self.last_number += 1;
-        // If the receiver is gone, the thread has already reported its error.
-        let _ = self.writes.send((self.last_number, write));
+        if let Some(writes) = &self.writes {
+            // If the receiver is gone, the thread has already reported its error.
+            let _ = writes.send((self.last_number, write));
+        }
         self.last_number
     }
+
+    /// Accepts no further writes. The thread, if it was not returned before, holds the data directory
+    /// until it ends.
+    pub(crate) fn close(&mut self) -> Option<JoinHandle<()>> {
+        self.writes = None;
+        self.thread.take()
+    }
 }
 
 struct DiskThread {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod backend;
 mod command;
 mod disk;
+mod disk_recovery;
 mod drain_progress;
 mod endpoint_polling;
 mod fleet_view;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -77,7 +77,7 @@
         Ok(Metrics {
             disk_failed: r.gauge(
                 "disk_failed",
-                "Whether the replica stopped on a failed disk.",
+                "Whether the replica is out of service because its disk failed.",
             )?,
             role: r.gauge(
                 "role",
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,6 +1,7 @@
 //! The actor that drives the consensus node, the disk thread and the state machine.
 
 mod apply;
+mod disk_failure;
 mod drive;
 mod handlers;
 mod leader_tasks;
@@ -59,7 +60,7 @@
         transfer_started_at: Option<Duration>,
     },
     /// The disk failed, or a snapshot could not be decoded. The replica sends and accepts nothing until
-    /// it is restarted.
+    /// it has read its data directory again.
     DiskFailed,
 }
 
@@ -83,14 +84,15 @@
     next_bootstrap_at: Option<Duration>,
     next_expire_at: Duration,
     request_sequence: u64,
+    stop_requested: bool,
     stopped_tx: Option<oneshot::Sender<()>>,
 }
 
 impl Replica {
     pub(crate) fn new(parts: Parts) -> Self {
         let now = parts.clock.now();
-        let (index, bytes) = parts.snapshot.unwrap_or_default();
-        Replica {
+        let snapshot = parts.snapshot;
+        let mut replica = Replica {
             parts,
             phase: Phase::Running,
             inputs: Vec::new(),
@@ -98,15 +100,30 @@
             proposals: PendingProposals::default(),
             queries: PendingQueries::default(),
             send_barrier: SendBarrier::default(),
-            applied: (index, 0),
+            applied: (0, 0),
             applied_since_snapshot: (0, 0),
-            last_snapshot_bytes: bytes as u64,
+            last_snapshot_bytes: 0,
             snapshot_percent: rand::rng().random_range(SNAPSHOT_THRESHOLD_PERCENT),
             next_bootstrap_at: None,
             next_expire_at: now,
             request_sequence: 0,
+            stop_requested: false,
             stopped_tx: None,
-        }
+        };
+        replica.restart_log(snapshot);
+        replica
+    }
+
+    /// Starts from the log and the snapshot on disk. `snapshot` is the index of the snapshot, and its size
+    /// in bytes.
+    fn restart_log(&mut self, snapshot: Option<(u64, usize)>) {
+        let (index, bytes) = snapshot.unwrap_or_default();
+        self.inputs.clear();
+        self.send_barrier = SendBarrier::default();
+        self.applied = (index, 0);
+        self.applied_since_snapshot = (0, 0);
+        self.last_snapshot_bytes = bytes as u64;
+        self.next_bootstrap_at = None;
     }
 
     fn now(&self) -> Duration {
--- a/crates/control/src/replica/apply.rs
+++ b/crates/control/src/replica/apply.rs
@@ -38,7 +38,7 @@
     }
 
     /// Replaces the state with a snapshot from the leader. Returns whether it could be decoded.
-    pub(super) fn restore_snapshot(&mut self, snapshot: &Snapshot) -> bool {
+    pub(super) fn restore_snapshot(&mut self, snapshot: &Snapshot, cx: &mut Context<Self>) -> bool {
         match State::decode(&snapshot.data) {
             Ok(state) => {
                 self.applied = (snapshot.index, snapshot.term);
@@ -54,9 +54,8 @@
                 true
             }
             Err(e) => {
-                self.fail_stop(&format!(
-                    "a snapshot from the leader cannot be decoded: {e}"
-                ));
+                let reason = format!("a snapshot from the leader cannot be decoded: {e}");
+                self.fail_stop(&reason, cx);
                 false
             }
         }
--- a/crates/control/src/replica/drive.rs
+++ b/crates/control/src/replica/drive.rs
@@ -32,7 +32,7 @@
         }
         let now = self.now();
         let outputs = self.parts.node.step_all(now, inputs);
-        self.handle_outputs(outputs);
+        self.handle_outputs(outputs, cx);
         if self.phase == Phase::DiskFailed {
             return;
         }
@@ -41,7 +41,7 @@
         self.compact_if_due(cx);
     }
 
-    fn handle_outputs(&mut self, outputs: Vec<Output>) {
+    fn handle_outputs(&mut self, outputs: Vec<Output>, cx: &mut Context<Self>) {
         let mut outcomes: BTreeMap<u64, Outcome> = BTreeMap::new();
         for output in outputs {
             match output {
@@ -53,7 +53,7 @@
                     self.parts.disk.submit(DiskWrite::Entries(entries));
                 }
                 Output::PersistSnapshot(snapshot) => {
-                    if !self.restore_snapshot(&snapshot) {
+                    if !self.restore_snapshot(&snapshot, cx) {
                         return;
                     }
                     let write = self.parts.disk.submit(DiskWrite::InstallSnapshot(snapshot));
--- a/crates/control/src/replica/handlers.rs
+++ b/crates/control/src/replica/handlers.rs
@@ -101,6 +101,8 @@
 
     fn handle(&mut self, message: DiskDone, cx: &mut Context<Self>) {
         match message.0 {
+            // Writes that were queued before the failure; what they made durable is read back.
+            Ok(_) if self.phase == Phase::DiskFailed => {}
             Ok(synced) => {
                 self.parts.metrics.observe_sync(&synced);
                 for message in self.send_barrier.release(synced.last_write) {
@@ -110,7 +112,7 @@
                     self.push_input(Input::Persisted { index, term }, cx);
                 }
             }
-            Err(e) => self.fail_stop(&e.to_string()),
+            Err(e) => self.fail_stop(&e.to_string(), cx),
         }
     }
 }
@@ -181,26 +183,4 @@
             Err(e) => log::error!("cannot encode a command: {e}"),
         }
     }
-
-    /// Stops participating in the log after a failure that makes acknowledgments unsafe.
-    pub(super) fn fail_stop(&mut self, reason: &str) {
-        if self.phase == Phase::DiskFailed {
-            return;
-        }
-        self.phase = Phase::DiskFailed;
-        let published = &self.parts.published;
-        published.role.set(Role::Learner);
-        published.leader.set(None);
-        published.take_out_of_service();
-        self.parts.metrics.disk_failed.set(1);
-        let unknown = self.proposals.fail_all();
-        self.queries.refuse_all();
-        event!(
-            Error,
-            "disk_failed",
-            "reason" => reason,
-            "unknown_proposals" => unknown,
-            "effect" => "this replica accepts and confirms nothing until it is restarted",
-        );
-    }
 }
--- a/crates/control/src/replica/messages.rs
+++ b/crates/control/src/replica/messages.rs
@@ -3,6 +3,7 @@
 use super::pending_queries::ConfirmedQuery;
 use crate::admin::StatusReport;
 use crate::disk::{DiskError, SyncedBatch};
+use crate::disk_recovery::OpenedDisk;
 use mangospindle_consensus::Message;
 use mangospindle_rpc::ProposeResult;
 use mangospindle_state::AuditPage;
@@ -48,6 +49,11 @@
 #[rtype(result = "()")]
 pub(crate) struct DiskDone(pub(crate) Result<SyncedBatch, DiskError>);
 
+/// The data directory was opened again after a failure of the disk.
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub(crate) struct DiskReopened(pub(crate) OpenedDisk);
+
 /// Processes all queued inputs.
 #[derive(actix::Message)]
 #[rtype(result = "()")]
--- a/crates/control/src/replica/stop.rs
+++ b/crates/control/src/replica/stop.rs
@@ -11,6 +11,7 @@
     type Result = ();
 
     fn handle(&mut self, message: Stop, cx: &mut Context<Self>) {
+        self.stop_requested = true;
         self.stopped_tx = Some(message.0);
         if self.phase == Phase::Running {
             event!(Info, "stopping", "role" => format!("{:?}", self.parts.node.role()));
--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -1,6 +1,6 @@
-use crate::audit_export::AuditExport;
 use crate::backend::ReplicaBackend;
 use crate::disk::DiskWriter;
+use crate::disk_recovery::{OpenedDisk, open_disk};
 use crate::endpoint_polling::{EndpointSource, poll_endpoint_list};
 use crate::fleet_view::ViewExchange;
 use crate::limits::RETAINED_LOG_ENTRIES;
@@ -19,8 +19,7 @@
 use mangospindle_fleet::PollSchedule;
 use mangospindle_model::Clock;
 use mangospindle_rpc::{TrafficCounters, serve};
-use mangospindle_state::State;
-use mangospindle_storage::{Wal, WalOptions};
+use mangospindle_storage::Wal;
 use mangospindle_telemetry::event;
 use miette::{IntoDiagnostic, Result, WrapErr};
 use prometheus::Registry;
@@ -50,25 +49,14 @@
         std::fs::create_dir_all(&options.data_dir)
             .into_diagnostic()
             .wrap_err("cannot create the data directory")?;
-        let (wal, recovered) = Wal::open(&options.data_dir, WalOptions::default())
-            .into_diagnostic()
-            .wrap_err("cannot open the log")?;
-        let (audit, audit_file) = AuditExport::open(&options.data_dir)
-            .into_diagnostic()
-            .wrap_err("cannot open the exported audit trail")?;
+        let OpenedDisk {
+            wal,
+            recovered,
+            state,
+            audit,
+            audit_file,
+        } = open_disk(&options.data_dir).into_diagnostic()?;
         let snapshot = recovered.snapshot.as_ref().map(|s| (s.index, s.data.len()));
-        let state = match &recovered.snapshot {
-            Some(snapshot) => State::decode(&snapshot.data).into_diagnostic()?,
-            None => State::new(),
-        };
-        event!(
-            Info,
-            "recovered",
-            "storage" => wal.storage_id().0,
-            "snapshot_index" => snapshot.map_or(0, |s| s.0),
-            "entries" => recovered.entries.len(),
-            "term" => recovered.hard_state.term,
-        );
         let settings = node_settings(&options, &wal);
         let node = Node::new(settings, recovered, rand::random(), clock.now())
             .into_diagnostic()
@@ -179,7 +167,8 @@
     }
 }
 
-fn node_settings(options: &ReplicaOptions, wal: &Wal) -> NodeSettings {
+/// Settings of the consensus node of a replica.
+pub(crate) fn node_settings(options: &ReplicaOptions, wal: &Wal) -> NodeSettings {
     NodeSettings {
         member: Member {
             replica: options.replica,
--- a/crates/control/tests/disk_and_vm_list.rs
+++ b/crates/control/tests/disk_and_vm_list.rs
@@ -24,10 +24,11 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Guards against a replica that continues to lead or to accept changes after its disk has failed,
-/// and against accepted changes that were not written.
+/// Guards against a replica that continues to lead or to accept changes while its disk fails, against
+/// accepted changes that were not written, and against a replica that stays out of service although its
+/// disk works again.
 #[test]
-fn replica_with_failed_disk_stops_participating() {
+fn replica_with_failed_disk_stops_participating_until_it_works() {
     run_on_actix(async {
         let mut cluster = ReplicaCluster::start(3).await;
         let client = cluster.client(&cluster.all());
@@ -35,7 +36,7 @@
         let failing = cluster.leader().await;
         // The next snapshot is written to a device that is always full.
         let temporary = cluster.data_dir(failing).join("temporary");
-        std::os::unix::fs::symlink("/dev/full", temporary).unwrap();
+        std::os::unix::fs::symlink("/dev/full", &temporary).unwrap();
         let version = commit_changes(&client, 11..400).await;
         cluster
             .wait_for_metric(failing, "disk_failed", |f| f == 1.0)
@@ -57,12 +58,48 @@
             QueryResult::Unconfirmed
         );
         assert_ne!(cluster.leader().await, failing);
+        std::fs::remove_file(&temporary).unwrap();
+        cluster
+            .wait_for_metric(failing, "disk_failed", |f| f == 0.0)
+            .await;
+        wait_for_version(&failed_client, version).await;
+        // It stores again what it acknowledges.
+        let version = commit_changes(&failed_client, 400..410).await;
         cluster.kill(failing);
         cluster.start_replica(failing);
         wait_for_version(&cluster.client(&[failing]), version).await;
     });
 }
 
+/// Guards against a majority that is lost for good because the disks of several replicas were full one
+/// after the other, or the same disk more than once.
+#[test]
+fn disks_that_are_full_in_turn_do_not_stop_the_cluster() {
+    run_on_actix(async {
+        let cluster = ReplicaCluster::start(3).await;
+        let client = cluster.client(&cluster.all());
+        let mut next = 1;
+        for round in 0..4 {
+            let failing = cluster.leader().await;
+            let temporary = cluster.data_dir(failing).join("temporary");
+            std::os::unix::fs::symlink("/dev/full", &temporary).unwrap();
+            let mut version = 0;
+            while cluster.metric(failing, "disk_failed").await != Some(1.0) {
+                // A snapshot is due after a number of changes that grows with the state.
+                assert!(next < 20_000, "the disk of replica {failing} was not used");
+                version = commit_changes(&client, next..next + 100).await;
+                next += 100;
+            }
+            std::fs::remove_file(&temporary).unwrap();
+            cluster
+                .wait_for_metric(failing, "disk_failed", |f| f == 0.0)
+                .await;
+            wait_for_version(&cluster.client(&[failing]), version).await;
+            println!("round {round}: replica {failing} returned");
+        }
+    });
+}
+
 /// Guards against a VM that is missing from the platform's list but is not fenced, so that its
 /// endpoints stay without an owner. Also guards against fencing because of a partial list.
 #[test]
--- a/crates/storage/src/data_directory.rs
+++ b/crates/storage/src/data_directory.rs
@@ -89,12 +89,6 @@
         self.open_file(name)?.sync_data()
     }
 
-    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
-        let file = OpenOptions::new().write(true).open(self.path.join(name))?;
-        file.set_len(length)?;
-        file.sync_all()
-    }
-
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         self.open_files.remove(from);
         fs::rename(self.path.join(from), self.path.join(to))
--- a/crates/storage/src/file_system.rs
+++ b/crates/storage/src/file_system.rs
@@ -18,9 +18,6 @@
     /// Makes the content of an open file durable.
     fn sync(&mut self, name: &str) -> io::Result<()>;
 
-    /// Truncates a file to `length` bytes and makes its content durable.
-    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
-
     /// Renames a file and replaces the target if it exists.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
 
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -13,7 +13,8 @@
 //!   a later record proves that it was synced. No record proves this for the records of the last
 //!   sync, so corruption there cannot be told from a torn write.
 //! - After the first failed write or sync, every further operation fails, because the state of the
-//!   file is unknown.
+//!   file is unknown. Opening the directory again recovers what can be read back, and makes that
+//!   durable.
 //! - A directory is open at most once at a time, and its storage identifier never changes.
 
 mod corruption;
--- a/crates/storage/src/wal/open.rs
+++ b/crates/storage/src/wal/open.rs
@@ -3,7 +3,7 @@
 use super::{
     Wal,
     snapshot::{
-        TEMPORARY_FILE_NAME, parse_snapshot_file_name, read_record_file, snapshot_file_name,
+        parse_snapshot_file_name, read_record_file, snapshot_file_name, write_file,
         write_record_file,
     },
 };
@@ -90,9 +90,6 @@
             let identity = StoredIdentity::from(wal.storage);
             write_record_file(&mut wal.file_system, IDENTITY_FILE_NAME, &identity)?;
         }
-        if names.iter().any(|n| n == TEMPORARY_FILE_NAME) && identity.is_some() {
-            wal.remove_file(TEMPORARY_FILE_NAME)?;
-        }
         wal.remove_covered_files(latest_snapshot)?;
         let recovered = RecoveredState {
             hard_state: replay.hard_state,
@@ -133,10 +130,11 @@
         .map_err(|corruption| StorageError::corrupted(&name, 0, corruption))
 }
 
-/// Replays all segments and truncates a torn write at the end of the last one.
+/// Replays all segments. Writes the last one again, without a torn write at its end.
 ///
-/// The truncation also syncs the rest of the segment, because a process that was killed may have
-/// written it without a sync.
+/// A process that was killed may have written the last segment without a sync, or its last sync may have
+/// failed. After a failed sync, the operating system may return data that it never writes to the disk,
+/// even after a later sync of the same file. A new file makes all data durable that is recovered.
 fn read_segments<F>(
     file_system: &mut F,
     segments: &mut Vec<Segment>,
@@ -160,9 +158,7 @@
             );
         }
         if is_last {
-            file_system
-                .truncate(&name, intact_bytes as u64)
-                .map_err(StorageError::io("truncate", &name))?;
+            write_file(file_system, &name, &bytes[..intact_bytes])?;
         }
     }
     // `Wal::start_segment` creates a segment without records again under the same name.
--- a/crates/storage/src/wal/snapshot.rs
+++ b/crates/storage/src/wal/snapshot.rs
@@ -8,7 +8,7 @@
 const FILE_NAME_PREFIX: &str = "snapshot-";
 
 /// Name of a file until its content is durable.
-pub(super) const TEMPORARY_FILE_NAME: &str = "temporary";
+const TEMPORARY_FILE_NAME: &str = "temporary";
 
 pub(super) fn snapshot_file_name(index: u64) -> String {
     format!("{FILE_NAME_PREFIX}{index:020}")
@@ -95,9 +95,21 @@
         payload: &postcard::to_stdvec(content)?,
     };
     record.encode(&mut buf);
+    write_file(file_system, name, &buf)
+}
+
+/// Atomically writes or replaces a file: after a crash it has the old content or the new one.
+pub(super) fn write_file<F>(
+    file_system: &mut F,
+    name: &str,
+    content: &[u8],
+) -> Result<(), StorageError>
+where
+    F: FileSystem,
+{
     file_system
         .create(TEMPORARY_FILE_NAME)
-        .and_then(|()| file_system.append(TEMPORARY_FILE_NAME, &buf))
+        .and_then(|()| file_system.append(TEMPORARY_FILE_NAME, content))
         .and_then(|()| file_system.sync(TEMPORARY_FILE_NAME))
         .and_then(|()| file_system.rename(TEMPORARY_FILE_NAME, name))
         .and_then(|()| file_system.sync_directory())
--- a/crates/storage/tests/wal/crashes.rs
+++ b/crates/storage/tests/wal/crashes.rs
@@ -1,4 +1,4 @@
-use crate::faulty_file_system::{CRASH_OUTCOMES, FaultyFileSystem};
+use crate::faulty_file_system::{CRASH_OUTCOMES, FaultyFileSystem, UnsyncedData};
 use mangospindle_consensus::*;
 use mangospindle_storage::{FileSystem, StorageError, Wal, WalOptions};
 
@@ -287,3 +287,27 @@
         assert!((0..400).any(|n| succeeds(&(n * 13))), "{}", case.name);
     }
 }
+
+/// Guards against a replica that recovers from a failed sync without a restart, acknowledges what it read
+/// back, and loses it at a power loss because no sync ever wrote it.
+#[test]
+fn data_read_back_after_a_failed_sync_survives_a_crash() {
+    for case in CASES {
+        let mut failures = 0;
+        for limit in 0..40 {
+            let mut file_system = FaultyFileSystem::new();
+            file_system.syncs_left = limit;
+            let (id, states, first_possible, succeeded) =
+                run_until_failure(&mut file_system, case.ops);
+            failures += usize::from(!succeeded && id.is_some());
+            file_system.syncs_left = usize::MAX;
+            let context = format!("{}: sync {limit}", case.name);
+            let (_, found) = Wal::open_with(&mut file_system, OPTIONS).expect(&context);
+            assert!(states[first_possible..].contains(&found), "{context}");
+            file_system.crash(UnsyncedData::Lost);
+            let (_, recovered) = Wal::open_with(&mut file_system, OPTIONS).expect(&context);
+            assert_eq!(recovered, found, "{context}");
+        }
+        assert!(failures > 0, "{}: no sync failed", case.name);
+    }
+}
--- a/crates/storage/tests/wal/faulty_file_system.rs
+++ b/crates/storage/tests/wal/faulty_file_system.rs
@@ -9,6 +9,16 @@
     bytes: Vec<u8>,
     /// Length of the durable prefix.
     durable_bytes: usize,
+    /// Length of the prefix that syncs make durable. The rest was dropped by a failed sync: it can be
+    /// read until the next crash, and later syncs of the file do not write it.
+    writable_bytes: Option<usize>,
+}
+
+impl FileContent {
+    fn make_durable(&mut self) {
+        let limit = self.writable_bytes.unwrap_or(usize::MAX);
+        self.durable_bytes = self.bytes.len().min(limit);
+    }
 }
 
 /// What a crash does to data that was not synced.
@@ -43,6 +53,8 @@
     pub operations_left: usize,
     /// Free space on the disk.
     pub bytes_left: usize,
+    /// Number of syncs of files that succeed before one fails.
+    pub syncs_left: usize,
 }
 
 impl FaultyFileSystem {
@@ -53,6 +65,7 @@
             durable_names: BTreeMap::new(),
             operations_left: usize::MAX,
             bytes_left: usize::MAX,
+            syncs_left: usize::MAX,
         }
     }
 
@@ -68,6 +81,7 @@
                 UnsyncedData::Kept => {}
             }
             content.durable_bytes = content.bytes.len();
+            content.writable_bytes = None;
         }
         if unsynced == UnsyncedData::Kept {
             self.durable_names = self.names.clone();
@@ -125,16 +139,14 @@
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
         self.count_operation()?;
+        let fails = self.syncs_left == 0;
+        self.syncs_left = self.syncs_left.checked_sub(1).unwrap_or(usize::MAX);
         let content = self.file_content(name)?;
-        content.durable_bytes = content.bytes.len();
-        Ok(())
-    }
-
-    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
-        self.count_operation()?;
-        let content = self.file_content(name)?;
-        content.bytes.truncate(length as usize);
-        content.durable_bytes = content.bytes.len();
+        if fails {
+            content.writable_bytes = Some(content.durable_bytes);
+            return Err(Error::other("the sync failed"));
+        }
+        content.make_durable();
         Ok(())
     }
 
