Bound the idle timeout that an endpoint announces

Cause: the timeout of Keep-Alive was read as any number of seconds and added to the time of the clock. The sum overflows, and release builds abort on a panic.

--- a/crates/client/src/response_head.rs
+++ b/crates/client/src/response_head.rs
@@ -3,6 +3,10 @@
 use actix_web::http::{Method, StatusCode, Version};
 use std::time::Duration;
 
+/// Longest idle timeout of a peer that is read; longer ones are taken for it. It is added to the time of
+/// the clock, which must not overflow whatever a peer says.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(24 * 3600);
+
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -30,7 +34,7 @@
     pub content_length: Option<u64>,
     /// Whether the peer keeps the connection open.
     pub keep_alive: bool,
-    /// How long the peer keeps an idle connection open, if it announces that.
+    /// How long the peer keeps an idle connection open, if it announces that. At most a day.
     pub idle_timeout: Option<Duration>,
 }
 
@@ -87,7 +91,8 @@
     let value = text
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    value.trim().parse().ok().map(Duration::from_secs)
+    let timeout = value.trim().parse().ok().map(Duration::from_secs);
+    timeout.map(|t| t.min(MAX_IDLE_TIMEOUT))
 }
 
 /// Parses `Content-Length`. Repeated headers are rejected even if their values agree.
