Refuse orders that a newer one for the same subject has overtaken

Cause: a replica that is cut off forwards an order on an open connection. The network holds it up and delivers it when the cut heals, after the operator has given newer orders at another replica. Evacuations have no version, so the leader applied it.

A replica now notes the log index that it has applied when an order arrives, and sends it to the leader. The same holds for drains of endpoints and for fences without an incarnation. The field and the reply are new; replicas of the build before ignore the one and never get the other.

--- a/crates/control/src/admin/backend.rs
+++ b/crates/control/src/admin/backend.rs
@@ -1,4 +1,5 @@
 use super::StatusReport;
+use crate::OrderOrigin;
 use futures::future::LocalBoxFuture;
 use mangospindle_http::Problem;
 use mangospindle_state::{AuditPage, ClaimKey, ClaimOutcome, Command, Config, Outcome};
@@ -6,12 +7,20 @@
 
 /// Access of the administration API to its control replica.
 pub trait AdminBackend: Send + Sync + 'static {
-    /// Proposes a command and waits for its outcome. The leader sets the command's time.
+    /// Returns the log index that the replica has applied.
+    fn applied_index(&self) -> u64;
+
+    /// Proposes a command and waits for its outcome. The leader sets the command's time. `origin` tells
+    /// when the command arrived.
     ///
     /// The error is [`NoQuorum`](mangospindle_model::ErrorKind::NoQuorum) if the command was not
     /// accepted, and [`OutcomeUnknown`](mangospindle_model::ErrorKind::OutcomeUnknown) if it may
     /// have been accepted. In both cases, a retry with the same request identifier is safe.
-    fn propose(&self, command: Command) -> LocalBoxFuture<'static, Result<Outcome, Problem>>;
+    fn propose(
+        &self,
+        command: Command,
+        origin: OrderOrigin,
+    ) -> LocalBoxFuture<'static, Result<Outcome, Problem>>;
 
     /// Returns the current configuration. A majority confirms that it is current after the call
     /// starts.
--- a/crates/control/src/admin/change_request.rs
+++ b/crates/control/src/admin/change_request.rs
@@ -1,10 +1,11 @@
 use super::AdminContext;
 use super::caller::Caller;
 use super::wire::ChangeResultWire;
+use crate::OrderOrigin;
 use actix_web::HttpRequest;
 use actix_web::http::header::{ETAG, HeaderValue, IF_MATCH, IF_NONE_MATCH};
 use actix_web::{HttpResponse, web};
-use mangospindle_http::Problem;
+use mangospindle_http::{CallerConnection, Problem};
 use mangospindle_model::ErrorKind;
 use mangospindle_state::{Actor, Command, CommandKind, Outcome, RequestId};
 
@@ -19,10 +20,12 @@
     cx: web::Data<AdminContext>,
     request: RequestId,
     actor: Actor,
+    origin: OrderOrigin,
 }
 
 impl ChangeRequest {
-    /// Reads the request identifier from the `Idempotency-Key` header.
+    /// Reads the request identifier from the `Idempotency-Key` header. Called when the request arrives,
+    /// before anything is waited for.
     ///
     /// Returns an error if the header is missing or malformed, or its length is out of range.
     pub(super) fn new(
@@ -36,10 +39,13 @@
             let detail = format!("Idempotency-Key has 1 to {MAX_KEY_BYTES} bytes");
             return Err(Problem::new(ErrorKind::BadRequest, detail));
         }
+        let caller_connection = req.conn_data::<CallerConnection>().cloned();
+        let origin = OrderOrigin::new(cx.backend.applied_index(), caller_connection);
         Ok(ChangeRequest {
             cx,
             request: RequestId(key.to_string()),
             actor: Actor::Operator(caller.name),
+            origin,
         })
     }
 
@@ -57,7 +63,7 @@
             leader_time_ms: 0,
             kind,
         };
-        match self.cx.backend.propose(command).await? {
+        match self.cx.backend.propose(command, self.origin).await? {
             Outcome::Done { version } => {
                 let mut response = HttpResponse::Ok();
                 if let Some(etag) = etag {
--- a/crates/control/src/admin/handlers/endpoints.rs
+++ b/crates/control/src/admin/handlers/endpoints.rs
@@ -23,8 +23,8 @@
     cx: web::Data<AdminContext>,
     body: web::Json<NewEndpointWire>,
 ) -> Result<HttpResponse, Problem> {
+    let change = ChangeRequest::new(cx.clone(), caller, &req)?;
     let config = cx.backend.config().await?;
-    let change = ChangeRequest::new(cx, caller, &req)?;
     let endpoint = body.into_inner().resolve(&config.topology)?;
     change
         .propose(CommandKind::AddEndpoint { endpoint }, None)
@@ -38,8 +38,8 @@
     name: web::Path<String>,
     body: web::Json<SetEndpointDrainWire>,
 ) -> Result<HttpResponse, Problem> {
+    let change = ChangeRequest::new(cx.clone(), caller, &req)?;
     let config = cx.backend.config().await?;
-    let change = ChangeRequest::new(cx, caller, &req)?;
     let endpoint = config.topology.endpoint_by_name(&name);
     let kind = CommandKind::SetEndpointDrain {
         endpoint: endpoint.ok_or_else(|| not_found("endpoint", &name))?,
--- a/crates/control/src/admin/handlers/entries.rs
+++ b/crates/control/src/admin/handlers/entries.rs
@@ -23,8 +23,8 @@
     cx: web::Data<AdminContext>,
     body: web::Json<NewEntryWire>,
 ) -> Result<HttpResponse, Problem> {
+    let change = ChangeRequest::new(cx.clone(), caller, &req)?;
     let config = cx.backend.config().await?;
-    let change = ChangeRequest::new(cx, caller, &req)?;
     let entry = body.into_inner().resolve(&config.topology)?;
     change.propose(CommandKind::AddEntry { entry }, None).await
 }
--- a/crates/control/src/backend.rs
+++ b/crates/control/src/backend.rs
@@ -1,27 +1,26 @@
 use crate::admin::{AdminBackend, StatusReport};
 use crate::drain_progress;
+use crate::order_origin::OrderOrigin;
+use crate::proposer::Proposer;
 use crate::replica::Replica;
-use crate::replica::messages::{GetAudit, GetStatus, Propose, SubmitQuery};
+use crate::replica::messages::{GetAudit, GetStatus, SubmitQuery};
 use crate::replica::pending_queries::ConfirmedQuery;
 use actix::Addr;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use mangospindle_http::Problem;
 use mangospindle_model::ErrorKind;
-use mangospindle_rpc::{MAX_COMMAND_BYTES, ProposeResult, QueryResult};
+use mangospindle_rpc::{ProposeResult, QueryResult};
 use mangospindle_state::{AuditPage, ClaimKey, ClaimOutcome, Command, Config, Outcome};
 use mangospindle_telemetry::metrics_text;
 use prometheus::Registry;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Timeout for the outcome of a change. It exceeds the time that a forwarded proposal takes.
-const PROPOSE_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Forwards calls of the administration API, which runs on its own thread, to the replica actor.
 pub(crate) struct ReplicaBackend {
     pub(crate) replica: Addr<Replica>,
+    pub(crate) proposer: Proposer,
     pub(crate) registry: Registry,
 }
 
@@ -52,29 +51,29 @@
 }
 
 impl AdminBackend for ReplicaBackend {
-    fn propose(&self, command: Command) -> LocalBoxFuture<'static, Result<Outcome, Problem>> {
-        let no_quorum = |detail: &str| Err(Problem::new(ErrorKind::NoQuorum, detail));
-        let command = match postcard::to_stdvec(&command) {
-            Ok(command) if command.len() <= MAX_COMMAND_BYTES => command,
-            Ok(_) | Err(_) => {
-                let problem = Problem::new(ErrorKind::InvalidChange, "the change is too large");
-                return futures::future::ready(Err(problem)).boxed_local();
-            }
-        };
-        let (reply, result) = oneshot::channel();
-        self.replica.do_send(Propose {
-            command,
-            forwarded: false,
-            reply,
-        });
+    fn applied_index(&self) -> u64 {
+        self.proposer.applied_index()
+    }
+
+    fn propose(
+        &self,
+        command: Command,
+        origin: OrderOrigin,
+    ) -> LocalBoxFuture<'static, Result<Outcome, Problem>> {
+        let proposal = self.proposer.clone().propose(command, origin);
         async move {
-            match tokio::time::timeout(PROPOSE_TIMEOUT, result).await {
-                Ok(Ok(ProposeResult::Outcome(outcome))) => Ok(outcome),
-                Ok(Ok(ProposeResult::NotAccepted)) => no_quorum("the change is in no log"),
-                Ok(Ok(ProposeResult::Unknown) | Err(_)) | Err(_) => Err(Problem::new(
+            let no_quorum = |detail: &str| Err(Problem::new(ErrorKind::NoQuorum, detail));
+            match proposal.await {
+                Ok(ProposeResult::Outcome(outcome)) => Ok(outcome),
+                Ok(ProposeResult::NotAccepted) => no_quorum("the change is in no log"),
+                Ok(ProposeResult::Outdated) => {
+                    no_quorum("another order may be newer; the change is in no log")
+                }
+                Ok(ProposeResult::Unknown) => Err(Problem::new(
                     ErrorKind::OutcomeUnknown,
                     "the change may have been accepted",
                 )),
+                Err(e) => Err(Problem::new(ErrorKind::InvalidChange, e.to_string())),
             }
         }
         .boxed_local()
--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -1,6 +1,7 @@
 use crate::admin::{AdminContext, Tokens, configure};
 use crate::backend::ReplicaBackend;
 use actix_web::{App, HttpServer};
+use mangospindle_http::CallerConnection;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 ) -> io::Result<()> {
     let cx = AdminContext::new(backend, tokens);
     let server = HttpServer::new(move || App::new().configure(configure(cx.clone())))
+        .on_connect(CallerConnection::register)
         .workers(1)
         .disable_signals()
         .bind(address)?
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,9 +5,11 @@
 //!
 //! Invariants:
 //! - Data is synced to disk before it is acknowledged to other replicas or to callers.
-//! - After a disk failure, the replica permanently stops participating in the log. The failure is
-//!   reported and never retried, because data that the kernel dropped after a failed sync cannot be
-//!   written again.
+//! - After a disk failure, the replica stops participating in the log. It returns with what it reads
+//!   back from the disk, and what it writes again counts as durable; nothing in memory does, because
+//!   the kernel may have dropped the data of a failed sync.
+//! - An operator's order without a version does not take effect after a newer one for the same subject,
+//!   however late it arrives at the leader.
 //! - Each response carries the time since the state was last known to be current, computed when the
 //!   response is sent.
 
@@ -26,7 +28,10 @@
 mod metrics;
 mod operator_handle;
 mod options;
+mod order_origin;
+mod order_subject;
 mod peers;
+mod proposer;
 mod published_state;
 mod replica;
 mod run;
@@ -40,6 +45,7 @@
 pub use endpoint_polling::{EndpointListing, EndpointSource};
 pub use operator_handle::OperatorHandle;
 pub use options::{InitialConfig, ReplicaOptions, ReplicaSet};
+pub use order_origin::OrderOrigin;
 pub use run::run;
 pub use running_replica::RunningReplica;
 pub use vm_tracker::{
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -136,6 +136,7 @@
             ProposeResult::Outcome(_) => "accepted",
             ProposeResult::NotAccepted => "not_accepted",
             ProposeResult::Unknown => "unknown",
+            ProposeResult::Outdated => "outdated",
         };
         self.proposals.with_label_values(&[outcome]).inc();
     }
--- a/crates/control/src/operator_handle.rs
+++ b/crates/control/src/operator_handle.rs
@@ -1,7 +1,8 @@
 use crate::admin::AdminBackend;
 use crate::backend::ReplicaBackend;
+use crate::order_origin::OrderOrigin;
 use mangospindle_fleet::{CallerLocation, EntryLookup, Fleet};
-use mangospindle_http::Problem;
+use mangospindle_http::{CallerConnection, Problem};
 use mangospindle_model::{Clock, ErrorKind, RouteTable};
 use mangospindle_state::{Actor, Command, CommandKind, Outcome, RequestId};
 use mangospindle_telemetry::event;
@@ -43,23 +44,31 @@
         let subject = format!("routes-{}", table.number);
         let table = Box::new(table);
         let kind = CommandKind::PutRoutes { table, document };
-        self.propose_change(subject, kind).await
+        let origin = self.order_origin(None);
+        self.propose_change(subject, kind, origin).await
     }
 
-    /// Starts or ends the evacuation of a failure domain.
+    /// Returns the origin of an order that arrives now on this connection.
+    pub fn order_origin(&self, caller: Option<CallerConnection>) -> OrderOrigin {
+        OrderOrigin::new(self.backend.applied_index(), caller)
+    }
+
+    /// Starts or ends the evacuation of a failure domain, unless a newer order for it has been accepted
+    /// since the order arrived.
     ///
     /// Returns an error if the change was rejected, or if its outcome is not known.
     pub async fn set_evacuation(
         &self,
         failure_domain: String,
         evacuate: bool,
+        origin: OrderOrigin,
     ) -> Result<(), Problem> {
         let subject = format!("evacuation-{failure_domain}-{evacuate}");
         let kind = CommandKind::SetEvacuation {
             failure_domain,
             evacuate,
         };
-        self.propose_change(subject, kind).await
+        self.propose_change(subject, kind, origin).await
     }
 
     /// Returns the route table as the operator submitted it, after a majority confirmed that it is
@@ -93,7 +102,12 @@
         self.backend.metrics()
     }
 
-    async fn propose_change(&self, subject: String, kind: CommandKind) -> Result<(), Problem> {
+    async fn propose_change(
+        &self,
+        subject: String,
+        kind: CommandKind,
+        origin: OrderOrigin,
+    ) -> Result<(), Problem> {
         let command = Command {
             request: RequestId(format!("{subject}-{:016x}", rand::random::<u64>())),
             actor: Actor::Operator("operator".to_string()),
@@ -101,7 +115,7 @@
             leader_time_ms: 0,
             kind,
         };
-        let outcome = self.backend.propose(command).await;
+        let outcome = self.backend.propose(command, origin).await;
         let result = match outcome {
             Ok(Outcome::Refused { kind, detail, .. }) => Err(Problem::new(kind, detail)),
             Ok(Outcome::Done { .. }) => Ok(()),
--- a/crates/control/src/published_state.rs
+++ b/crates/control/src/published_state.rs
@@ -7,6 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -29,6 +30,8 @@
     pub(crate) open_watches: Cell<usize>,
     /// Known version and time of the latest watch request of each entry.
     pub(crate) entry_watches: RefCell<BTreeMap<EntryId, (u64, Duration)>>,
+    /// Log index that this replica has applied. Also read by the threads that serve HTTP.
+    pub(crate) applied_index: Arc<AtomicU64>,
     /// Replicas of the current membership.
     pub(crate) members: RefCell<Vec<ReplicaId>>,
     /// The fleet view: entries and endpoints. Also read by the threads that serve HTTP.
@@ -47,6 +50,7 @@
             version: watch::Sender::new((version, 0)),
             open_watches: Cell::new(0),
             entry_watches: RefCell::default(),
+            applied_index: Arc::default(),
             members: RefCell::default(),
             fleet: Arc::new(Mutex::new(Fleet::new(rand::random()))),
         })
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -6,6 +6,7 @@
 mod handlers;
 mod leader_tasks;
 pub(crate) mod messages;
+mod order_history;
 mod pending_proposals;
 pub(crate) mod pending_queries;
 mod report;
@@ -21,8 +22,9 @@
 use crate::published_state::PublishedState;
 use crate::wall_clock::WallClock;
 use actix::{Actor, AsyncContext, Context};
-use mangospindle_consensus::{Input, Node};
+use mangospindle_consensus::{Input, Node, Role};
 use mangospindle_model::Clock;
+use order_history::OrderHistory;
 use pending_proposals::PendingProposals;
 use pending_queries::PendingQueries;
 use rand::Rng;
@@ -72,6 +74,7 @@
     inputs: Vec<Input>,
     flush_scheduled: bool,
     proposals: PendingProposals,
+    orders: OrderHistory,
     queries: PendingQueries,
     send_barrier: SendBarrier,
     /// Index and term of the last applied entry.
@@ -98,6 +101,7 @@
             inputs: Vec::new(),
             flush_scheduled: false,
             proposals: PendingProposals::default(),
+            orders: OrderHistory::default(),
             queries: PendingQueries::default(),
             send_barrier: SendBarrier::default(),
             applied: (0, 0),
@@ -120,12 +124,18 @@
         let (index, bytes) = snapshot.unwrap_or_default();
         self.inputs.clear();
         self.send_barrier = SendBarrier::default();
+        self.orders.restart(index);
         self.applied = (index, 0);
         self.applied_since_snapshot = (0, 0);
         self.last_snapshot_bytes = bytes as u64;
         self.next_bootstrap_at = None;
     }
 
+    /// Whether this replica leads and has applied everything that leaders before it committed.
+    fn is_ready_leader(&self) -> bool {
+        self.parts.node.role() == Role::Leader && self.applied.1 == self.parts.node.term()
+    }
+
     fn now(&self) -> Duration {
         self.parts.clock.now()
     }
--- a/crates/control/src/replica/apply.rs
+++ b/crates/control/src/replica/apply.rs
@@ -5,6 +5,7 @@
 use crate::limits::{
     AUDIT_PAGE_RECORDS, SNAPSHOT_MAX_LOG_BYTES, SNAPSHOT_MIN_ENTRIES, SNAPSHOT_SIZE_DIVISOR,
 };
+use crate::order_subject::OrderSubject;
 use actix::Context;
 use mangospindle_consensus::{Entry, Input, Member, Membership, Payload, Snapshot};
 use mangospindle_model::ErrorKind;
@@ -27,7 +28,7 @@
         self.applied_since_snapshot.1 += bytes.len() as u64;
         // Every replica refuses an undecodable command in the same way, so the states stay equal.
         let outcome = match postcard::from_bytes::<Command>(&bytes) {
-            Ok(command) => (self.parts.published.state.borrow_mut()).apply(entry.index, &command),
+            Ok(command) => self.apply_command(entry.index, &command),
             Err(e) => Outcome::Refused {
                 kind: ErrorKind::BadRequest,
                 detail: format!("the command cannot be decoded: {e}"),
@@ -37,11 +38,22 @@
         Some(outcome)
     }
 
+    fn apply_command(&mut self, index: u64, command: &Command) -> Outcome {
+        let mut state = self.parts.published.state.borrow_mut();
+        let outcome = state.apply(index, command);
+        // An order that changes nothing also is the newest one for its subject.
+        if let Some(subject) = OrderSubject::of_change(&command.kind, state.config()) {
+            self.orders.record(index, subject);
+        }
+        outcome
+    }
+
     /// Replaces the state with a snapshot from the leader. Returns whether it could be decoded.
     pub(super) fn restore_snapshot(&mut self, snapshot: &Snapshot, cx: &mut Context<Self>) -> bool {
         match State::decode(&snapshot.data) {
             Ok(state) => {
                 self.applied = (snapshot.index, snapshot.term);
+                self.orders.restart(snapshot.index);
                 self.applied_since_snapshot = (0, 0);
                 self.last_snapshot_bytes = snapshot.data.len() as u64;
                 *self.parts.published.state.borrow_mut() = state;
--- a/crates/control/src/replica/drive.rs
+++ b/crates/control/src/replica/drive.rs
@@ -9,6 +9,7 @@
 use mangospindle_state::Outcome;
 use mangospindle_telemetry::event;
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 
 impl Replica {
     /// Queues an input and schedules a flush. All inputs queued before the flush share appends and
@@ -79,10 +80,12 @@
                         None => ProposeResult::Unknown,
                     };
                     self.parts.metrics.count_proposal(&result);
+                    self.orders.finish(id);
                     self.proposals.resolve(id, result);
                 }
                 Output::ProposalFailed { id, error } => {
                     self.parts.metrics.count_failed_proposal(error);
+                    self.orders.finish(id);
                     self.proposals.fail(id, error);
                 }
                 Output::RoleChanged(role) => self.on_role_changed(role),
@@ -123,6 +126,9 @@
         let members = node.membership().members().map(|m| m.replica);
         *published.members.borrow_mut() = members.collect();
         published.publish_version();
+        published
+            .applied_index
+            .store(self.applied.0, Ordering::Relaxed);
         self.queries
             .answer(&published.state.borrow(), published.confirmed_at.get(), now);
         self.update_metrics();
--- a/crates/control/src/replica/handlers.rs
+++ b/crates/control/src/replica/handlers.rs
@@ -4,9 +4,10 @@
     Deliver, DiskDone, FenceVms, Flush, GetAudit, GetStatus, Propose, SubmitQuery,
 };
 use super::{Phase, Replica};
+use crate::order_subject::OrderSubject;
 use actix::{ActorFutureExt, AsyncContext, Context, Handler, MessageResult, WrapFuture};
-use mangospindle_consensus::{Input, Role};
-use mangospindle_rpc::ProposeResult;
+use mangospindle_consensus::{Input, ProposalId, Role};
+use mangospindle_rpc::{Proposal, ProposeResult};
 use mangospindle_state::{Actor as ChangeActor, Command, CommandKind, Outcome, RequestId};
 use mangospindle_telemetry::event;
 use tokio::sync::oneshot;
@@ -33,16 +34,14 @@
     type Result = ();
 
     fn handle(&mut self, message: Propose, cx: &mut Context<Self>) {
+        let Propose { proposal, reply } = message;
         let refused =
-            self.phase != Phase::Running || !self.proposals.has_room(message.command.len());
+            self.phase != Phase::Running || !self.proposals.has_room(proposal.command.len());
         match self.parts.node.role() {
-            _ if refused => self.refuse(message.reply),
-            Role::Leader => match self.set_leader_time(&message.command) {
-                Some(command) => self.append_proposal(command, message.reply, cx),
-                None => self.refuse(message.reply),
-            },
-            _ if message.forwarded => self.refuse(message.reply),
-            _ => self.forward_proposal(message, cx),
+            _ if refused => self.refuse(reply, ProposeResult::NotAccepted),
+            Role::Leader => self.accept_proposal(proposal, reply, cx),
+            _ if proposal.forwarded => self.refuse(reply, ProposeResult::NotAccepted),
+            _ => self.forward_proposal(proposal, reply, cx),
         }
     }
 }
@@ -118,12 +117,40 @@
 }
 
 impl Replica {
-    fn refuse(&self, reply: oneshot::Sender<ProposeResult>) {
-        self.parts
-            .metrics
-            .count_proposal(&ProposeResult::NotAccepted);
+    /// Answers a proposal that is in no log.
+    fn refuse(&self, reply: oneshot::Sender<ProposeResult>, result: ProposeResult) {
+        self.parts.metrics.count_proposal(&result);
         // The caller may be gone.
-        let _ = reply.send(ProposeResult::NotAccepted);
+        let _ = reply.send(result);
+    }
+
+    /// Appends a proposal to the log of this leader, unless it is an order that may be older than another
+    /// one for the same subject.
+    fn accept_proposal(
+        &mut self,
+        proposal: Proposal,
+        reply: oneshot::Sender<ProposeResult>,
+        cx: &mut Context<Self>,
+    ) {
+        let Ok(mut command) = postcard::from_bytes::<Command>(&proposal.command) else {
+            return self.refuse(reply, ProposeResult::NotAccepted);
+        };
+        let subject = OrderSubject::of_order(&command.kind);
+        if let (Some(subject), Some(based_on)) = (&subject, proposal.based_on)
+            && (!self.is_ready_leader() || self.orders.is_outdated(subject, based_on))
+        {
+            event!(Info, "order_outdated", "subject" => format!("{subject:?}"),
+                "based_on" => based_on, "applied" => self.applied.0);
+            return self.refuse(reply, ProposeResult::Outdated);
+        }
+        command.leader_time_ms = self.parts.wall_clock.unix_ms();
+        let Ok(encoded) = postcard::to_stdvec(&command) else {
+            return self.refuse(reply, ProposeResult::NotAccepted);
+        };
+        let id = self.append_proposal(encoded, reply, cx);
+        if let Some(subject) = subject {
+            self.orders.start(id, subject);
+        }
     }
 
     fn append_proposal(
@@ -131,29 +158,28 @@
         command: Vec<u8>,
         reply: oneshot::Sender<ProposeResult>,
         cx: &mut Context<Self>,
-    ) {
+    ) -> ProposalId {
         let id = self.proposals.add(reply, command.len());
         self.push_input(Input::Propose { id, command }, cx);
-    }
-
-    /// Sets the leader time of an encoded command. `None` if the command cannot be decoded.
-    fn set_leader_time(&self, command: &[u8]) -> Option<Vec<u8>> {
-        let mut command: Command = postcard::from_bytes(command).ok()?;
-        command.leader_time_ms = self.parts.wall_clock.unix_ms();
-        postcard::to_stdvec(&command).ok()
+        id
     }
 
     /// Forwards a proposal to the leader.
-    fn forward_proposal(&mut self, message: Propose, cx: &mut Context<Self>) {
+    fn forward_proposal(
+        &mut self,
+        proposal: Proposal,
+        reply: oneshot::Sender<ProposeResult>,
+        cx: &mut Context<Self>,
+    ) {
         let leader = self.parts.node.leader();
         let Some(peer) = leader.and_then(|l| self.parts.peers.link(l.replica)) else {
-            return self.refuse(message.reply);
+            return self.refuse(reply, ProposeResult::NotAccepted);
         };
-        let answer = peer.propose(&message.command);
+        let answer = peer.propose(&proposal.command, proposal.based_on);
         cx.spawn(answer.into_actor(self).map(|result, replica, _| {
             replica.parts.metrics.count_proposal(&result);
             // The caller may be gone.
-            let _ = message.reply.send(result);
+            let _ = reply.send(result);
         }));
     }
 
--- a/crates/control/src/replica/leader_tasks.rs
+++ b/crates/control/src/replica/leader_tasks.rs
@@ -4,7 +4,6 @@
 use crate::limits::{BOOTSTRAP_RETRY, EXPIRE_INTERVAL};
 use crate::options::InitialConfig;
 use actix::Context;
-use mangospindle_consensus::Role;
 use mangospindle_settings::Deployment;
 use mangospindle_state::CommandKind;
 use mangospindle_telemetry::event;
@@ -14,9 +13,7 @@
     /// due.
     pub(super) fn run_leader_tasks(&mut self, cx: &mut Context<Self>) {
         // A new leader may lack committed state until it has applied the first entry of its term.
-        let is_ready_leader =
-            self.parts.node.role() == Role::Leader && self.applied.1 == self.parts.node.term();
-        if self.phase != Phase::Running || !is_ready_leader {
+        if self.phase != Phase::Running || !self.is_ready_leader() {
             return;
         }
         let now = self.now();
--- a/crates/control/src/replica/messages.rs
+++ b/crates/control/src/replica/messages.rs
@@ -5,7 +5,7 @@
 use crate::disk::{DiskError, SyncedBatch};
 use crate::disk_recovery::OpenedDisk;
 use mangospindle_consensus::Message;
-use mangospindle_rpc::ProposeResult;
+use mangospindle_rpc::{Proposal, ProposeResult};
 use mangospindle_state::AuditPage;
 use std::collections::BTreeMap;
 use tokio::sync::oneshot;
@@ -15,13 +15,11 @@
 #[rtype(result = "()")]
 pub(crate) struct Deliver(pub(crate) Vec<Message>);
 
-/// Proposes an encoded command.
+/// Proposes a command.
 #[derive(actix::Message)]
 #[rtype(result = "()")]
 pub(crate) struct Propose {
-    pub(crate) command: Vec<u8>,
-    /// Whether a follower forwarded the proposal. It is then not forwarded again.
-    pub(crate) forwarded: bool,
+    pub(crate) proposal: Proposal,
     pub(crate) reply: oneshot::Sender<ProposeResult>,
 }
 
--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -8,6 +8,7 @@
 use crate::operator_handle::OperatorHandle;
 use crate::options::{ReplicaOptions, ReplicaSet};
 use crate::peers::Peers;
+use crate::proposer::Proposer;
 use crate::published_state::PublishedState;
 use crate::replica::messages::{DiskDone, Stop};
 use crate::replica::{Parts, Replica};
@@ -156,6 +157,10 @@
     pub(crate) fn backend(&self) -> Arc<ReplicaBackend> {
         Arc::new(ReplicaBackend {
             replica: self.replica.clone(),
+            proposer: Proposer {
+                replica: self.replica.clone(),
+                applied_index: Arc::clone(&self.published.applied_index),
+            },
             registry: self.registry.clone(),
         })
     }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -10,7 +10,7 @@
 use mangospindle_fleet::ExchangeRequest;
 use mangospindle_model::Clock;
 use mangospindle_rpc::{
-    ControlService, MAX_WATCH_HOLD, ProposeResult, QueryResult, WatchContent, WatchReply,
+    ControlService, MAX_WATCH_HOLD, Proposal, ProposeResult, QueryResult, WatchContent, WatchReply,
     WatchRequest,
 };
 use mangospindle_state::{ChangesSince, ClaimKey};
@@ -66,16 +66,12 @@
         .boxed_local()
     }
 
-    fn propose(&self, command: Vec<u8>, forwarded: bool) -> LocalBoxFuture<'static, ProposeResult> {
+    fn propose(&self, proposal: Proposal) -> LocalBoxFuture<'static, ProposeResult> {
         if self.published.out_of_service.get() {
             return futures::future::ready(ProposeResult::NotAccepted).boxed_local();
         }
         let (reply, result) = oneshot::channel();
-        self.replica.do_send(Propose {
-            command,
-            forwarded,
-            reply,
-        });
+        self.replica.do_send(Propose { proposal, reply });
         // If the sender is dropped, the command may or may not have been appended.
         async move { result.await.unwrap_or(ProposeResult::Unknown) }.boxed_local()
     }
--- a/crates/control/tests/admin/backend.rs
+++ b/crates/control/tests/admin/backend.rs
@@ -1,5 +1,6 @@
 use crate::support::{attempt, bootstrap, claim, claim_key, end_claim, entry_join};
 use futures::future::LocalBoxFuture;
+use mangospindle_control::OrderOrigin;
 use mangospindle_control::admin::{
     AdminBackend, DrainReport, EntryReport, ReplicaReport, ReplicaRole, StatusReport,
 };
@@ -62,7 +63,15 @@
 }
 
 impl AdminBackend for StateBackend {
-    fn propose(&self, command: Command) -> LocalBoxFuture<'static, Result<Outcome, Problem>> {
+    fn applied_index(&self) -> u64 {
+        self.state_and_index.lock().unwrap().1
+    }
+
+    fn propose(
+        &self,
+        command: Command,
+        _: OrderOrigin,
+    ) -> LocalBoxFuture<'static, Result<Outcome, Problem>> {
         let outcome = self.apply(command);
         let mut remaining = self.responses_to_drop.lock().unwrap();
         let result = match *remaining {
--- a/crates/entry/src/actions.rs
+++ b/crates/entry/src/actions.rs
@@ -125,7 +125,9 @@
         .propose(command.clone(), request.clone(), time_left);
     let outcome = match proposed.await {
         ProposeResult::Outcome(outcome) => outcome,
-        ProposeResult::NotAccepted => return Err(ErrorKind::NoQuorum.into()),
+        ProposeResult::NotAccepted | ProposeResult::Outdated => {
+            return Err(ErrorKind::NoQuorum.into());
+        }
         ProposeResult::Unknown => {
             // The claim may still be granted. The command is repeated under the same identifier
             // until its result is known. Only then is the claim released, so that the release
--- a/crates/rpc/schema/control.capnp
+++ b/crates/rpc/schema/control.capnp
@@ -11,8 +11,10 @@
   # Replies immediately if the caller's version is out of date. Otherwise replies on the next change
   # or when the hold time has passed.
 
-  propose @1 (command :Data, forwarded :Bool) -> (reply :ProposeReply);
+  propose @1 (command :Data, forwarded :Bool, basedOn :UInt64) -> (reply :ProposeReply);
   # `command` is a postcard-encoded `state::Command`. A forwarded command is not forwarded again.
+  # `basedOn` is the last log index that the replica which received the command had applied when it
+  # arrived, or 0 if that is not told.
 
   queryClaim @2 (service :UInt16, key :Text) -> (reply :QueryReply);
 
@@ -65,6 +67,9 @@
     # The command is in no replica's log.
     unknown @2 :Void;
     # The command may have been accepted or may be accepted later.
+    outdated @3 :Void;
+    # Like `notAccepted`: another order for the same subject has followed `basedOn`. Only sent in reply
+    # to a command with `basedOn`.
   }
 }
 
--- a/crates/rpc/src/control_capnp.rs
+++ b/crates/rpc/src/control_capnp.rs
@@ -633,11 +633,15 @@
             pub fn get_forwarded(self) -> bool {
                 self.reader.get_bool_field(0)
             }
+            #[inline]
+            pub fn get_based_on(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -711,6 +715,14 @@
             pub fn set_forwarded(&mut self, value: bool)  {
                 self.builder.set_bool_field(0, value);
             }
+            #[inline]
+            pub fn get_based_on(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_based_on(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -722,17 +734,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(132, 114, 26, 226, 34, 189, 3, 188),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
@@ -740,21 +752,28 @@
                 ::capnp::word(110, 116, 114, 111, 108, 46, 112, 114),
                 ::capnp::word(111, 112, 111, 115, 101, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(99, 111, 109, 109, 97, 110, 100, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -772,11 +791,20 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 97, 115, 101, 100, 79, 110, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -790,9 +818,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
             pub(crate) const TYPE_ID: u64 = 0xbc03_bd22_e21a_7284;
         }
     }
@@ -3970,7 +3998,7 @@
 }
 
 pub mod propose_reply {
-    pub use self::Which::{Outcome,NotAccepted,Unknown};
+    pub use self::Which::{Outcome,NotAccepted,Unknown,Outdated};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -4055,6 +4083,11 @@
                         ()
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(Outdated(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -4136,6 +4169,10 @@
             self.builder.set_data_field::<u16>(0, 2);
         }
         #[inline]
+        pub fn set_outdated(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 3);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -4153,6 +4190,11 @@
                         ()
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(Outdated(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -4167,17 +4209,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(74, 35, 5, 19, 174, 183, 89, 216),
             ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(113, 154, 14, 93, 164, 240, 177, 195),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
@@ -4185,28 +4227,35 @@
             ::capnp::word(111, 112, 111, 115, 101, 82, 101, 112),
             ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4232,12 +4281,22 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 117, 116, 100, 97, 116, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <() as ::capnp::introspect::Introspect>::introspect(),
                 2 => <() as ::capnp::introspect::Introspect>::introspect(),
+                3 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4252,14 +4311,15 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,3,2];
         pub(crate) const TYPE_ID: u64 = 0xd859_b7ae_1305_234a;
     }
     pub enum Which<A0> {
         Outcome(A0),
         NotAccepted(()),
         Unknown(()),
+        Outdated(()),
     }
     pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::data::Reader<'a>>>;
     pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::data::Builder<'a>>>;
--- a/crates/rpc/src/control_service.rs
+++ b/crates/rpc/src/control_service.rs
@@ -1,4 +1,4 @@
-use crate::{ProposeResult, QueryResult, WatchReply, WatchRequest};
+use crate::{Proposal, ProposeResult, QueryResult, WatchReply, WatchRequest};
 use futures::future::LocalBoxFuture;
 use mangospindle_consensus::Message;
 use mangospindle_state::ClaimKey;
@@ -10,8 +10,8 @@
     /// change or when the hold time has passed.
     fn watch(&self, request: WatchRequest) -> LocalBoxFuture<'static, WatchReply>;
 
-    /// Proposes an encoded command. A forwarded command must not be forwarded again.
-    fn propose(&self, command: Vec<u8>, forwarded: bool) -> LocalBoxFuture<'static, ProposeResult>;
+    /// Proposes a command.
+    fn propose(&self, proposal: Proposal) -> LocalBoxFuture<'static, ProposeResult>;
 
     /// Returns the state of an at-most-once action.
     fn query_claim(&self, key: ClaimKey) -> LocalBoxFuture<'static, QueryResult>;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -22,6 +22,7 @@
 mod metered_stream;
 mod peer_link;
 mod peer_queue;
+mod proposal;
 mod propose_result;
 mod query_result;
 mod rpc_error;
@@ -52,6 +53,7 @@
     SNAPSHOT_CHUNK_BYTES,
 };
 pub use peer_link::PeerLink;
+pub use proposal::Proposal;
 pub use propose_result::ProposeResult;
 pub use query_result::QueryResult;
 pub use rpc_error::RpcError;
--- a/crates/rpc/src/peer_link.rs
+++ b/crates/rpc/src/peer_link.rs
@@ -70,14 +70,20 @@
         async move { call?.await.ok() }
     }
 
-    /// Forwards a proposal to the replica. Returns [`ProposeResult::NotAccepted`] if there is no
+    /// Forwards a proposal to the replica, with the log index that it is [based
+    /// on](crate::Proposal::based_on). Returns [`ProposeResult::NotAccepted`] if there is no
     /// open connection.
-    pub fn propose(&self, command: &[u8]) -> impl Future<Output = ProposeResult> + use<> {
+    pub fn propose(
+        &self,
+        command: &[u8],
+        based_on: Option<u64>,
+    ) -> impl Future<Output = ProposeResult> + use<> {
         let connection = self.inner.connection.borrow().clone();
         let call = connection.filter(|c| !c.is_closed()).map(|connection| {
             let mut request = connection.client().propose_request();
             request.get().set_command(command);
             request.get().set_forwarded(true);
+            request.get().set_based_on(based_on.unwrap_or(0));
             connection.call(request.send().promise)
         });
         async move {
--- a/crates/rpc/src/propose_result.rs
+++ b/crates/rpc/src/propose_result.rs
@@ -11,6 +11,9 @@
     NotAccepted,
     /// The command may have been accepted or may be accepted later.
     Unknown,
+    /// Like [`NotAccepted`](ProposeResult::NotAccepted): another order for the same subject has followed
+    /// the state that the command is based on.
+    Outdated,
 }
 
 impl ProposeResult {
@@ -22,6 +25,7 @@
             }
             ProposeResult::NotAccepted => builder.set_not_accepted(()),
             ProposeResult::Unknown => builder.set_unknown(()),
+            ProposeResult::Outdated => builder.set_outdated(()),
         }
         Ok(())
     }
@@ -35,6 +39,7 @@
             Which::Outcome(data) => ProposeResult::Outcome(postcard::from_bytes(data?)?),
             Which::NotAccepted(()) => ProposeResult::NotAccepted,
             Which::Unknown(()) => ProposeResult::Unknown,
+            Which::Outdated(()) => ProposeResult::Outdated,
         })
     }
 }
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -4,7 +4,9 @@
 use crate::limits::{MAX_CONNECTIONS, SERVER_IDLE_TIMEOUT};
 use crate::snapshot_assembler::SnapshotAssembler;
 use crate::wire_message::WireMessage;
-use crate::{ControlService, MAX_COMMAND_BYTES, ProposeResult, RpcError, TrafficCounters};
+use crate::{
+    ControlService, MAX_COMMAND_BYTES, Proposal, ProposeResult, RpcError, TrafficCounters,
+};
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use mangospindle_model::{Clock, ServiceId};
 use mangospindle_state::ClaimKey;
@@ -116,12 +118,14 @@
         params: control::ProposeParams,
         mut results: control::ProposeResults,
     ) -> Result<(), capnp::Error> {
-        let command = params.get()?.get_command()?;
-        let result = match command.len() <= MAX_COMMAND_BYTES {
-            true => {
-                let forwarded = params.get()?.get_forwarded();
-                self.service.propose(command.to_vec(), forwarded).await
-            }
+        let reader = params.get()?;
+        let proposal = Proposal {
+            command: reader.get_command()?.to_vec(),
+            forwarded: reader.get_forwarded(),
+            based_on: Some(reader.get_based_on()).filter(|index| *index > 0),
+        };
+        let result = match proposal.command.len() <= MAX_COMMAND_BYTES {
+            true => self.service.propose(proposal).await,
             false => ProposeResult::NotAccepted,
         };
         Ok(result.write(results.get().init_reply())?)
--- a/crates/rpc/tests/support/fake_service.rs
+++ b/crates/rpc/tests/support/fake_service.rs
@@ -2,7 +2,7 @@
 use futures::future::LocalBoxFuture;
 use mangospindle_consensus::Message;
 use mangospindle_rpc::{
-    ControlService, ProposeResult, QueryResult, WatchContent, WatchReply, WatchRequest,
+    ControlService, Proposal, ProposeResult, QueryResult, WatchContent, WatchReply, WatchRequest,
 };
 use mangospindle_state::{ClaimKey, ClaimOutcome, Config};
 use std::cell::{Cell, RefCell};
@@ -57,7 +57,7 @@
         .boxed_local()
     }
 
-    fn propose(&self, _: Vec<u8>, _: bool) -> LocalBoxFuture<'static, ProposeResult> {
+    fn propose(&self, _: Proposal) -> LocalBoxFuture<'static, ProposeResult> {
         self.proposal_count.set(self.proposal_count.get() + 1);
         match self.propose_result.borrow().clone() {
             Some(propose_result) => futures::future::ready(propose_result).boxed_local(),
