Log over which connection a request is sent and why a restart is suspected

New events at level debug: request_connected, endpoint_connection_lost, endpoint_checked, endpoint_check_unanswered. The last two replace the line of endpoint_cold with the source health_check.

--- a/crates/client/src/lease.rs
+++ b/crates/client/src/lease.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// The target to which the connection leads.
+    pub fn target(&self) -> T {
+        self.target
+    }
+
     /// Whether the connection has carried an earlier request.
     pub fn is_reused(&self) -> bool {
         self.reused
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -59,6 +59,11 @@
         &self.routes
     }
 
+    /// Instance identifier of an endpoint, unless it has been removed.
+    pub fn instance(&self, endpoint: EndpointKey) -> Option<&str> {
+        Some(self.endpoints.get(&endpoint)?.instance.as_str())
+    }
+
     /// Number of requests of this entry in progress at all endpoints.
     pub fn in_progress(&self) -> u32 {
         self.endpoints
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -39,6 +39,20 @@
 }
 
 impl Outcome {
+    /// Whether the endpoint may have restarted.
+    pub fn is_sign_of_restart(&self) -> bool {
+        match self {
+            Outcome::Unreachable | Outcome::Disconnected | Outcome::ClosedWhileIdle => true,
+            Outcome::Answered { .. }
+            | Outcome::EndpointError { .. }
+            | Outcome::Rejected { .. }
+            | Outcome::Misdirected
+            | Outcome::Failed
+            | Outcome::TimedOut
+            | Outcome::Cancelled => false,
+        }
+    }
+
     /// Load that the endpoint reported, if it responded with one.
     pub(crate) fn load(&self) -> Option<LoadReading> {
         match self {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
     ResponseHead, end_to_end_headers,
 };
 use mangospindle_dispatch::{Choice, Outcome};
+use mangospindle_telemetry::event;
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
@@ -92,6 +93,8 @@
             return AttemptResult::Unreachable;
         }
     };
+    event!(Debug, "request_connected", "request" => context.id, "endpoint" => choice.instance,
+        "reused" => lease.is_reused(), "others_open" => gateway.pool.has_open(lease.target()));
     let remaining = context.deadline.saturating_sub(gateway.now());
     let Ok(request_writer) = encode_request(gateway, context, choice, remaining) else {
         guard.finish(Outcome::Cancelled);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -227,6 +227,11 @@
     pub(crate) fn record_outcome(&self, ticket: SendTicket, outcome: Outcome) {
         let now = self.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
+        if outcome.is_sign_of_restart() {
+            let instance = dispatcher.instance(ticket.endpoint).unwrap_or_default();
+            event!(Debug, "endpoint_connection_lost", "endpoint" => instance,
+                "sign" => format!("{outcome:?}"));
+        }
         dispatcher.record_outcome(now, ticket, outcome);
     }
 
@@ -234,6 +239,8 @@
     pub(crate) fn record_idle_close(&self, endpoint: EndpointKey) {
         let now = self.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
+        let instance = dispatcher.instance(endpoint).unwrap_or_default();
+        event!(Debug, "endpoint_connection_lost", "endpoint" => instance, "sign" => "IdleClose");
         dispatcher.record_idle_close(now, endpoint);
     }
 
--- a/crates/gateway/src/health_checks.rs
+++ b/crates/gateway/src/health_checks.rs
@@ -38,14 +38,14 @@
 }
 
 fn log_report(check: &HealthCheck, report: HealthReport) {
-    log::debug!("health check of {}: {report:?}", check.instance);
     match report {
-        HealthReport::Answered {
-            cold_for: Some(cold_for),
-            ..
-        } if !cold_for.is_zero() => event!(Debug, "endpoint_cold", "endpoint" => check.instance,
-            "cold_ms" => cold_for.as_millis(), "source" => "health_check"),
-        _ => {}
+        HealthReport::Answered { healthy, cold_for } => {
+            event!(Debug, "endpoint_checked", "endpoint" => check.instance, "healthy" => healthy,
+                "cold_ms" => cold_for.map_or(String::new(), |d| d.as_millis().to_string()));
+        }
+        HealthReport::Unanswered => {
+            event!(Debug, "endpoint_check_unanswered", "endpoint" => check.instance);
+        }
     }
 }
 
