Do not take a rejected health check for news that an endpoint is warm

Cause: a health check that the endpoint rejects for want of room has no cold time, and counted as the answer of an endpoint that is not cold. It lifted the suspicion of a restart, and with it the limit.

The new case of endpoints_that_lost_their_connections_are_limited_until_a_health_check describes the rejection; before, the gateway reported it as its case "disconnected, says nothing of a cold start", after which the endpoint gets the full load.

--- a/crates/dispatch/src/dispatcher/check_health.rs
+++ b/crates/dispatch/src/dispatcher/check_health.rs
@@ -51,13 +51,16 @@
         if e.health_check != HealthCheckState::Running {
             return;
         }
-        let HealthReport::Answered { healthy, cold_for } = report else {
-            e.record_failure(now, 1);
-            return;
-        };
         let service = self.routes.services.get(&e.service);
         let cold_start = service.map_or(DEFAULT_COLD_START, |s| s.cold_start);
-        e.record_restart_check(now, cold_for, cold_start);
+        let healthy = match report {
+            HealthReport::Answered { healthy, cold_for } => {
+                e.record_restart_check(now, cold_for, cold_start);
+                healthy
+            }
+            HealthReport::Rejected { .. } => false,
+            HealthReport::Unanswered => return e.record_failure(now, 1),
+        };
         match e.needs_probe() {
             false => e.health_check = HealthCheckState::NotNeeded,
             true if healthy => e.health_check = HealthCheckState::Passed,
--- a/crates/dispatch/src/health_check.rs
+++ b/crates/dispatch/src/health_check.rs
@@ -1,4 +1,4 @@
-use crate::EndpointKey;
+use crate::{EndpointKey, LoadReading};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -40,6 +40,11 @@
         /// How long it stays cold, if it tells that.
         cold_for: Option<Duration>,
     },
+    /// The endpoint had no room for the check. This says nothing about its health or a cold start.
+    Rejected {
+        /// Load that the endpoint reported.
+        load: Option<LoadReading>,
+    },
     /// There was no response, or that of another instance.
     Unanswered,
 }
--- a/crates/dispatch/tests/choices/restarts.rs
+++ b/crates/dispatch/tests/choices/restarts.rs
@@ -102,6 +102,12 @@
             },
             warm: true,
         },
+        Case {
+            name: "closed while idle, has no room for the check",
+            outcome: Outcome::ClosedWhileIdle,
+            report: HealthReport::Rejected { load: None },
+            warm: false,
+        },
         Case {
             name: "unreachable, not cold",
             outcome: Outcome::Unreachable,
--- a/crates/gateway/src/health_checks.rs
+++ b/crates/gateway/src/health_checks.rs
@@ -43,8 +43,9 @@
             event!(Debug, "endpoint_checked", "endpoint" => check.instance, "healthy" => healthy,
                 "cold_ms" => cold_for.map_or(String::new(), |d| d.as_millis().to_string()));
         }
-        HealthReport::Unanswered => {
-            event!(Debug, "endpoint_check_unanswered", "endpoint" => check.instance);
+        HealthReport::Rejected { .. } | HealthReport::Unanswered => {
+            event!(Debug, "endpoint_check_failed", "endpoint" => check.instance,
+                "reason" => format!("{report:?}"));
         }
     }
 }
@@ -71,9 +72,12 @@
     };
     (gateway.paths.borrow_mut()).record_response(gateway.now());
     drain_body(exchange).await;
-    let misdirected = gateway.protocol.response_metadata(&head).misdirected;
+    let metadata = gateway.protocol.response_metadata(&head);
     match gateway.protocol.health_instance(&head) {
-        _ if misdirected => HealthReport::Unanswered,
+        _ if metadata.misdirected => HealthReport::Unanswered,
+        _ if metadata.not_run => HealthReport::Rejected {
+            load: metadata.load,
+        },
         // Only a rejection may leave out the instance, so this is not the response to a health check.
         None if head.status == StatusCode::OK => HealthReport::Unanswered,
         Some(instance) if instance != check.instance => HealthReport::Unanswered,
