Keep a region's number of entries until all reports of a minute were lower

Cause: a lower number of live entries took effect with the first report that arrived a minute after the last one of the highest number, whatever the reports in between had said. A replica that has just started, or that is cut off, reports too few; an entry without news for a minute (a freeze, a partition) took the first report it got.

What callers saw: such an entry used the share of a cold endpoint's rate, or of the rate that an endpoint names, that is meant for all entries of its region together, until a replica reported the full number.

The number now falls only when each report of a minute was lower, and to the highest of these. Time without reports does not count as a minute of lower reports, because the minute begins with a report.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -10,6 +10,7 @@
 mod service;
 mod update;
 
+use crate::region_entries::RegionEntries;
 use crate::{DispatchSettings, EndpointKey};
 use endpoint::Endpoint;
 use mangospindle_model::RouteTable;
@@ -33,8 +34,7 @@
     next_key: u32,
     /// Whether a request could have used an endpoint that needs a health check first.
     health_checks_wanted: bool,
-    /// Number of entries in this region, including this one, and when it was last updated.
-    region_entries: (u32, Duration),
+    region_entries: RegionEntries,
 }
 
 impl Dispatcher {
@@ -50,7 +50,7 @@
             services: BTreeMap::new(),
             next_key: 0,
             health_checks_wanted: false,
-            region_entries: (1, Duration::ZERO),
+            region_entries: RegionEntries::default(),
         }
     }
 
@@ -86,6 +86,6 @@
 
     /// Number of entries in this region that are assumed to share its rate limits.
     pub fn region_entries(&self) -> u32 {
-        self.region_entries.0
+        self.region_entries.count()
     }
 }
--- a/crates/dispatch/src/dispatcher/eligibility.rs
+++ b/crates/dispatch/src/dispatcher/eligibility.rs
@@ -68,7 +68,7 @@
             .map_or(0.0, |s| s.cold_rate);
         send_interval(
             rate * COLD_RATE_FRACTION,
-            self.region_entries.0,
+            self.region_entries.count(),
             MAX_COLD_INTERVAL,
         )
     }
@@ -77,7 +77,7 @@
     /// from all entries together.
     pub(super) fn limited_interval(&self, e: &Endpoint, rate: f64) -> Duration {
         let local = self.settings.region_of(&e.failure_domain) == self.settings.region();
-        let region_entries = self.region_entries.0;
+        let region_entries = self.region_entries.count();
         let other_regions = self.settings.region_count().saturating_sub(1) as u32;
         let (fraction, entries) = match local {
             true => (LOCAL_LIMIT_FRACTION, region_entries),
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -21,9 +21,6 @@
 const COLD_MARGIN_AND_JITTER: (Duration, Duration) =
     (Duration::from_millis(1100), Duration::from_millis(1200));
 
-/// Retention of the highest number of live entries. Longer than most network partitions.
-const REGION_ENTRIES_RETENTION: Duration = Duration::from_secs(60);
-
 /// Cold start duration of endpoints whose service is not in the routes.
 pub(super) const DEFAULT_COLD_START: Duration = Duration::from_secs(3);
 
@@ -105,14 +102,10 @@
         self.group_by_service();
     }
 
-    /// Updates the number of live entries in this region. A lower number takes effect only after a
-    /// minute. Entries that are partitioned from the control replicas are not counted as live but
-    /// still send requests, and a replica that was partitioned itself reports too few.
-    pub fn update_region_entries(&mut self, now: Duration, region_entries: u32) {
-        let (highest, counted_at) = self.region_entries;
-        if region_entries >= highest || now.saturating_sub(counted_at) >= REGION_ENTRIES_RETENTION {
-            self.region_entries = (region_entries.max(1), now);
-        }
+    /// Records a report of the number of live entries in this region. A lower number takes effect only
+    /// when all reports of a minute were lower.
+    pub fn update_region_entries(&mut self, now: Duration, reported: u32) {
+        self.region_entries.record(now, reported);
     }
 
     fn group_by_service(&mut self) {
@@ -120,7 +113,7 @@
         for (key, endpoint) in &self.endpoints {
             groups.entry(&endpoint.service).or_default().push(*key);
         }
-        let entries = self.region_entries.0 * self.settings.region_count() as u32;
+        let entries = self.region_entries.count() * self.settings.region_count() as u32;
         for service in self.services.values_mut() {
             service.endpoints.clear();
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,6 +31,7 @@
 mod outcome;
 mod path_monitor;
 mod refusal;
+mod region_entries;
 mod region_load;
 mod region_shares;
 mod request;
--- a/crates/dispatch/tests/choices/main.rs
+++ b/crates/dispatch/tests/choices/main.rs
@@ -6,6 +6,7 @@
 mod health_checks;
 mod notices;
 mod preferences;
+mod region_entries;
 mod restarts;
 mod stops;
 mod support;
