Use a leaving endpoint again only when the list shows a later start

Cause: every sign of a cold start ended the time for which an endpoint counts as leaving, also signs that say nothing of a new lifetime: an answer after a refused connection (even the one that says that the endpoint leaves), the end of an evacuation, a health check, and a list that reports the cold start of the present lifetime or its end. In the other direction, a start was ignored while the endpoint still counted as cold from its former lifetime, and it stayed unused for up to 30 s.

Evidence: five of the seven cases of the new test failed before.

Only the list ends the time now, if it shows the endpoint as ready with a cold start that began after the endpoint said that it leaves. Its content lags behind, so the start must be 3 s later. An endpoint serves for longer than that after it has said that it leaves.

--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -2,7 +2,7 @@
 use crate::health_check::HealthCheckState;
 use crate::load_estimate::LoadEstimate;
 use crate::working_set::WorkingSet;
-use mangospindle_fleet::EndpointState;
+use mangospindle_fleet::{EndpointRecord, EndpointState};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,6 +19,9 @@
 /// one that is still listed by then stays in use.
 const LEAVING_TIME: Duration = Duration::from_secs(30);
 
+/// Time by which the list may date a cold start too late, because its content lags behind.
+const MAX_LIST_LAG: Duration = Duration::from_secs(3);
+
 /// Longest time for which an endpoint is left alone at its own request.
 const MAX_BACKOFF: Duration = Duration::from_secs(60);
 
@@ -70,11 +73,7 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(
-        record: &mangospindle_fleet::EndpointRecord,
-        now: Duration,
-        cold_margin: Duration,
-    ) -> Self {
+    pub(crate) fn new(record: &EndpointRecord, now: Duration, cold_margin: Duration) -> Self {
         let mut endpoint = Endpoint {
             instance: record.instance.clone(),
             service: record.service.clone(),
@@ -105,6 +104,22 @@
         endpoint
     }
 
+    /// Applies the current record of the endpoint. `cold_start` is the duration of its cold starts.
+    pub(crate) fn update(&mut self, now: Duration, record: &EndpointRecord, cold_start: Duration) {
+        self.state = record.state;
+        self.slots = record.slots.max(1);
+        match record.cold_for {
+            Duration::ZERO => {}
+            _ if record.cold_start_has_ended() && self.was_cold_lately(now) => {}
+            cold_for if record.cold_start_has_ended() => self.mark_cold(now, cold_for),
+            cold_for => {
+                self.mark_cold(now, cold_for);
+                let cold_since = cold_start.saturating_sub(cold_for);
+                self.record_listed_start(now.saturating_sub(cold_since));
+            }
+        }
+    }
+
     /// Whether the endpoint may receive requests, regardless of ejection.
     pub(crate) fn is_eligible(&self, evacuated: &BTreeSet<String>) -> bool {
         self.state == EndpointState::Ready
@@ -123,6 +138,15 @@
         self.leaving_until = now + LEAVING_TIME;
     }
 
+    /// Records a cold start that the list reports to have begun at `began_at`. If the endpoint is listed
+    /// as ready although it said before that it is about to stop, it has started again since.
+    fn record_listed_start(&mut self, began_at: Duration) {
+        let said_at = self.leaving_until.saturating_sub(LEAVING_TIME);
+        if self.state == EndpointState::Ready && began_at >= said_at + MAX_LIST_LAG {
+            self.leaving_until = Duration::ZERO;
+        }
+    }
+
     /// Records that the endpoint wants no request from this entry for a while.
     pub(crate) fn back_off(&mut self, now: Duration, delay: Duration) {
         let until = now + delay.min(MAX_BACKOFF);
@@ -134,7 +158,7 @@
     }
 
     /// Whether this entry knows of a cold start that has not ended, or has ended lately.
-    pub(crate) fn was_cold_lately(&self, now: Duration) -> bool {
+    fn was_cold_lately(&self, now: Duration) -> bool {
         (self.cold_until).is_some_and(|until| now < until + KNOWN_COLD_START_TIME)
     }
 
@@ -268,8 +292,6 @@
     /// Marks the endpoint as cold for at least `duration` and clears its working set.
     pub(crate) fn mark_cold(&mut self, now: Duration, duration: Duration) {
         if !self.is_cold(now) {
-            // The endpoint has started again, with its instance identifier.
-            self.leaving_until = Duration::ZERO;
             self.cold_limiter.reset();
         }
         self.cold_until = self.cold_until.max(Some(now + duration));
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -54,16 +54,13 @@
     }
 
     fn update_endpoint(&mut self, now: Duration, record: &EndpointRecord) {
+        let service = self.routes.services.get(&record.service);
+        let cold_start = service.map_or(DEFAULT_COLD_START, |s| s.cold_start);
         let existing = self.by_instance.get(&record.instance);
         let existing = existing.and_then(|key| self.endpoints.get_mut(key));
         match existing {
             Some(e) if e.address == record.address && e.service == record.service => {
-                e.state = record.state;
-                e.slots = record.slots.max(1);
-                let is_news = !record.cold_start_has_ended() || !e.was_cold_lately(now);
-                if is_news && !record.cold_for.is_zero() {
-                    e.mark_cold(now, record.cold_for);
-                }
+                e.update(now, record, cold_start);
             }
             _ => {
                 if let Some(key) = self.by_instance.get(&record.instance) {
--- /dev/null
+++ b/crates/dispatch/tests/choices/lifetimes.rs
@@ -0,0 +1,123 @@
+//! Tests of endpoints that start again under their instance identifier and address.
+
+use crate::support::{NOW, dispatcher, evacuate, ms, record, request};
+use mangospindle_dispatch::{Dispatcher, EndpointNotices, Outcome};
+use mangospindle_fleet::{EndpointRecord, EndpointState};
+use std::time::Duration;
+
+const ANSWERED: Outcome = Outcome::Answered {
+    elapsed: ms(5),
+    load: None,
+};
+
+/// Sends a request if the dispatcher allows one.
+fn send(entry: &mut Dispatcher, now: Duration, notices: EndpointNotices, outcome: Outcome) -> bool {
+    let Ok(choice) = entry.choose(now, &request()) else {
+        return false;
+    };
+    entry.record_notices(now, choice.ticket.endpoint, notices);
+    entry.record_outcome(now, choice.ticket, outcome);
+    true
+}
+
+/// Whether a request is sent at `now` or within the next second.
+fn is_used(entry: &mut Dispatcher, now: Duration) -> bool {
+    (0..100).any(|n| {
+        send(
+            entry,
+            now + ms(10 * n),
+            EndpointNotices::default(),
+            ANSWERED,
+        )
+    })
+}
+
+fn listed(entry: &mut Dispatcher, now: Duration, state: EndpointState, cold_for: Duration) {
+    let endpoint = EndpointRecord {
+        state,
+        cold_for,
+        ..record(1, "a")
+    };
+    entry.update_endpoints(now, &[endpoint]);
+}
+
+/// Guards against requests to a leaving endpoint that was taken for one that has started again, and
+/// against one that has started again and stays unused.
+#[test]
+fn only_the_list_shows_that_a_leaving_endpoint_has_started_again() {
+    struct Case {
+        name: &'static str,
+        before: fn(&mut Dispatcher),
+        /// What happens after the endpoint has said that it leaves.
+        after: fn(&mut Dispatcher),
+        used: bool,
+    }
+    let nothing: fn(&mut Dispatcher) = |_| {};
+    let cases = [
+        Case {
+            name: "an answer after a refused connection",
+            before: |entry| {
+                let notices = EndpointNotices::default();
+                assert!(send(entry, NOW, notices, Outcome::Unreachable));
+            },
+            after: nothing,
+            used: false,
+        },
+        Case {
+            name: "end of an evacuation",
+            before: nothing,
+            after: |entry| {
+                evacuate(entry, NOW + ms(500), &["a"]);
+                evacuate(entry, NOW + ms(1_500), &[]);
+            },
+            used: false,
+        },
+        Case {
+            name: "list reports the end of a cold start",
+            before: nothing,
+            after: |entry| listed(entry, NOW + ms(1_000), EndpointState::Ready, ms(1)),
+            used: false,
+        },
+        Case {
+            name: "list reports the cold start of the present lifetime",
+            before: nothing,
+            after: |entry| listed(entry, NOW + ms(1_000), EndpointState::Ready, ms(2_800)),
+            used: false,
+        },
+        Case {
+            name: "list reports a later cold start",
+            before: nothing,
+            after: |entry| listed(entry, NOW + ms(6_000), EndpointState::Ready, ms(2_000)),
+            used: true,
+        },
+        Case {
+            name: "list reports a later cold start before the former one counts as ended",
+            before: |entry| listed(entry, NOW, EndpointState::Ready, ms(3_000)),
+            after: |entry| listed(entry, NOW + ms(4_050), EndpointState::Ready, ms(2_400)),
+            used: true,
+        },
+        Case {
+            name: "not listed, then as ready",
+            before: nothing,
+            after: |entry| {
+                entry.update_endpoints(NOW + ms(5_000), &[]);
+                listed(entry, NOW + ms(6_000), EndpointState::Ready, ms(0));
+            },
+            used: true,
+        },
+    ];
+    let leaving = EndpointNotices {
+        leaving: true,
+        ..EndpointNotices::default()
+    };
+    for case in cases {
+        let mut entry = dispatcher(&[record(1, "a")]);
+        (case.before)(&mut entry);
+        // A cold endpoint takes a request each 333 ms.
+        let said = (0..40).any(|n| send(&mut entry, NOW + ms(10 * n), leaving, ANSWERED));
+        assert!(said, "{}", case.name);
+        (case.after)(&mut entry);
+        let used = is_used(&mut entry, NOW + ms(12_000));
+        assert_eq!(used, case.used, "{}", case.name);
+    }
+}
--- a/crates/dispatch/tests/choices/main.rs
+++ b/crates/dispatch/tests/choices/main.rs
@@ -4,6 +4,7 @@
 
 mod cold;
 mod health_checks;
+mod lifetimes;
 mod notices;
 mod preferences;
 mod region_entries;
