Give an endpoint that has drained and is ready again a state of its own

Cause: an entry kept one state for each identifier, address and service. An endpoint may start again under all three. What it had said in its former lifetime (that it leaves, that it wants no request for up to a minute, a rate limit) and the requests that it did not finish still counted.

What callers saw: less capacity.

Evidence: the case "listed as draining, then as ready" and two of the three new tests failed before; the third guards what the new state takes over.

An endpoint does not return from draining in one lifetime, so the change from draining to ready shows a later one. It gets a new key and a new state. The former key receives the ends of earlier requests. A known or suspected cold start is taken over, because it may be that of the later lifetime.

--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -104,6 +104,36 @@
         endpoint
     }
 
+    /// Whether the record names the service and the address of the endpoint.
+    pub(crate) fn is_at_place_of(&self, record: &EndpointRecord) -> bool {
+        self.address == record.address && self.service == record.service
+    }
+
+    /// Whether the record is that of the lifetime of which this is the state. An endpoint that was
+    /// draining and is ready has started again.
+    pub(crate) fn is_same_lifetime(&self, record: &EndpointRecord) -> bool {
+        let stopped = self.state == EndpointState::Draining && record.state == EndpointState::Ready;
+        !stopped && self.is_at_place_of(record)
+    }
+
+    /// State of a later lifetime of the endpoint, which knows nothing of what it said before. A cold
+    /// start of which this entry knows, or which it suspects, may be that of the later lifetime.
+    pub(crate) fn next_lifetime(
+        &self,
+        now: Duration,
+        record: &EndpointRecord,
+        cold_start: Duration,
+    ) -> Self {
+        let mut next = Endpoint {
+            cold_until: self.cold_until,
+            cold_limiter: self.cold_limiter,
+            restart_suspected_at: self.restart_suspected_at,
+            ..Endpoint::new(record, now, self.cold_margin)
+        };
+        next.update(now, record, cold_start);
+        next
+    }
+
     /// Applies the current record of the endpoint. `cold_start` is the duration of its cold starts.
     pub(crate) fn update(&mut self, now: Duration, record: &EndpointRecord, cold_start: Duration) {
         self.state = record.state;
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -56,27 +56,26 @@
     fn update_endpoint(&mut self, now: Duration, record: &EndpointRecord) {
         let service = self.routes.services.get(&record.service);
         let cold_start = service.map_or(DEFAULT_COLD_START, |s| s.cold_start);
-        let existing = self.by_instance.get(&record.instance);
-        let existing = existing.and_then(|key| self.endpoints.get_mut(key));
-        match existing {
-            Some(e) if e.address == record.address && e.service == record.service => {
-                e.update(now, record, cold_start);
-            }
-            _ => {
-                if let Some(key) = self.by_instance.get(&record.instance) {
-                    self.endpoints.remove(key);
-                }
-                let key = EndpointKey(self.next_key);
-                self.next_key += 1;
-                let margin = COLD_MARGIN_AND_JITTER.0
-                    + COLD_MARGIN_AND_JITTER
-                        .1
-                        .mul_f64(self.rng.random_range(0.0..1.0));
-                self.endpoints
-                    .insert(key, Endpoint::new(record, now, margin));
-                self.by_instance.insert(record.instance.clone(), key);
-            }
+        let known = self.by_instance.get(&record.instance).copied();
+        let existing = known.and_then(|key| self.endpoints.get_mut(&key));
+        let endpoint = match existing {
+            Some(e) if e.is_same_lifetime(record) => return e.update(now, record, cold_start),
+            Some(e) if e.is_at_place_of(record) => e.next_lifetime(now, record, cold_start),
+            _ => Endpoint::new(record, now, self.cold_margin()),
+        };
+        if let Some(key) = known {
+            self.endpoints.remove(&key);
         }
+        let key = EndpointKey(self.next_key);
+        self.next_key += 1;
+        self.endpoints.insert(key, endpoint);
+        self.by_instance.insert(record.instance.clone(), key);
+    }
+
+    /// Draws the time for which an endpoint still counts as cold after its cold start.
+    fn cold_margin(&mut self) -> Duration {
+        let (min, jitter) = COLD_MARGIN_AND_JITTER;
+        min + jitter.mul_f64(self.rng.random_range(0.0..1.0))
     }
 
     /// Replaces the routes and the evacuated failure domains.
--- a/crates/dispatch/tests/choices/lifetimes.rs
+++ b/crates/dispatch/tests/choices/lifetimes.rs
@@ -90,6 +90,15 @@
             after: |entry| listed(entry, NOW + ms(6_000), EndpointState::Ready, ms(2_000)),
             used: true,
         },
+        Case {
+            name: "listed as draining, then as ready",
+            before: nothing,
+            after: |entry| {
+                listed(entry, NOW + ms(1_000), EndpointState::Draining, ms(0));
+                listed(entry, NOW + ms(6_000), EndpointState::Ready, ms(0));
+            },
+            used: true,
+        },
         Case {
             name: "list reports a later cold start before the former one counts as ended",
             before: |entry| listed(entry, NOW, EndpointState::Ready, ms(3_000)),
@@ -121,3 +130,71 @@
         assert_eq!(used, case.used, "{}", case.name);
     }
 }
+
+/// Guards against an endpoint that has started again and stays unused for as long as it wanted no
+/// requests before.
+#[test]
+fn limits_end_with_the_lifetime_in_which_they_were_named() {
+    struct Case {
+        name: &'static str,
+        notices: EndpointNotices,
+    }
+    let cases = [
+        Case {
+            name: "no requests for a minute",
+            notices: EndpointNotices {
+                retry_after: Some(ms(60_000)),
+                ..EndpointNotices::default()
+            },
+        },
+        Case {
+            name: "rate of zero",
+            notices: EndpointNotices {
+                rate_limit: Some(0.0),
+                ..EndpointNotices::default()
+            },
+        },
+    ];
+    for case in cases {
+        let mut entry = dispatcher(&[record(1, "a")]);
+        assert!(
+            send(&mut entry, NOW, case.notices, ANSWERED),
+            "{}",
+            case.name
+        );
+        listed(&mut entry, NOW + ms(1_000), EndpointState::Draining, ms(0));
+        assert!(!is_used(&mut entry, NOW + ms(2_000)), "{}", case.name);
+        listed(&mut entry, NOW + ms(7_000), EndpointState::Ready, ms(0));
+        assert!(is_used(&mut entry, NOW + ms(7_000)), "{}", case.name);
+    }
+}
+
+/// Guards against a request to the former lifetime of an endpoint whose end counts for the present one.
+#[test]
+fn requests_to_a_former_lifetime_are_not_counted_in_the_present_one() {
+    let mut entry = dispatcher(&[record(1, "a")]);
+    let former = entry.choose(NOW, &request()).unwrap();
+    listed(&mut entry, NOW + ms(1_000), EndpointState::Draining, ms(0));
+    listed(&mut entry, NOW + ms(6_000), EndpointState::Ready, ms(0));
+    assert_eq!(entry.in_progress(), 0);
+    let present = entry.choose(NOW + ms(6_000), &request()).unwrap();
+    entry.record_outcome(NOW + ms(6_000), former.ticket, Outcome::TimedOut);
+    assert_eq!(entry.in_progress(), 1);
+    assert!(entry.choose(NOW + ms(6_000), &request()).is_ok());
+    entry.record_outcome(NOW + ms(6_000), present.ticket, ANSWERED);
+}
+
+/// Guards against an endpoint that gets the full load because a suspected restart is forgotten when the
+/// list shows that it has started again.
+#[test]
+fn a_suspected_restart_is_checked_in_the_next_lifetime() {
+    let mut entry = dispatcher(&[record(1, "a")]);
+    let notices = EndpointNotices::default();
+    assert!(send(&mut entry, NOW, notices, Outcome::ClosedWhileIdle));
+    listed(&mut entry, NOW + ms(500), EndpointState::Draining, ms(0));
+    listed(&mut entry, NOW + ms(2_000), EndpointState::Ready, ms(0));
+    let now = NOW + ms(2_000);
+    let sent = (0..20).filter(|n| send(&mut entry, now + ms(*n), notices, ANSWERED));
+    assert!(sent.count() <= 1);
+    assert_eq!(entry.take_health_checks(now + ms(20)).len(), 1);
+}
