Use an endpoint again after another one has held its address

Cause: one response of another endpoint at its address (421) marked an endpoint for as long as its identifier stayed listed with that address. An endpoint may start again under both, and an entry that reads the list each 0.7 s may not see one from which it was missing.

What callers saw: less capacity. The entry never used the endpoint again.

Evidence: the case "listed for long" of the new test failed before.

The mark now ends after 30 s, like that of a leaving endpoint, for the same reason: the list shows an end within seconds. Another 421 sets it again. It is a request that did not run and does not count.

--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -19,6 +19,10 @@
 /// one that is still listed by then stays in use.
 const LEAVING_TIME: Duration = Duration::from_secs(30);
 
+/// Time for which an endpoint gets no request after another one has responded at its address. The list
+/// shows its end earlier; one that is still listed by then may have started again at its address.
+const REASSIGNED_TIME: Duration = Duration::from_secs(30);
+
 /// Time by which the list may date a cold start too late, because its content lags behind.
 const MAX_LIST_LAG: Duration = Duration::from_secs(3);
 
@@ -41,8 +45,8 @@
     pub(crate) failure_domain: String,
     pub(crate) slots: u32,
     pub(crate) state: EndpointState,
-    /// Whether another endpoint now listens at the address.
-    pub(crate) address_reassigned: bool,
+    /// Until when another endpoint is assumed to listen at the address.
+    reassigned_until: Duration,
     /// End of the latest known cold start; `None` if the endpoint was never cold.
     cold_until: Option<Duration>,
     /// Time after the end of a cold start during which this entry still treats the endpoint as
@@ -81,7 +85,7 @@
             failure_domain: record.failure_domain.clone(),
             slots: record.slots.max(1),
             state: record.state,
-            address_reassigned: false,
+            reassigned_until: Duration::ZERO,
             cold_until: None,
             cold_margin,
             cold_limiter: EntryRateLimiter::default(),
@@ -152,14 +156,17 @@
 
     /// Whether the endpoint may receive requests, regardless of ejection.
     pub(crate) fn is_eligible(&self, evacuated: &BTreeSet<String>) -> bool {
-        self.state == EndpointState::Ready
-            && !self.address_reassigned
-            && !evacuated.contains(&self.failure_domain)
+        self.state == EndpointState::Ready && !evacuated.contains(&self.failure_domain)
     }
 
     /// Whether the endpoint is eligible, not ejected and accepts requests of this entry.
     pub(crate) fn is_usable(&self, now: Duration, evacuated: &BTreeSet<String>) -> bool {
-        let unusable_until = [self.ejected_until, self.backoff_until, self.leaving_until];
+        let unusable_until = [
+            self.ejected_until,
+            self.backoff_until,
+            self.leaving_until,
+            self.reassigned_until,
+        ];
         self.is_eligible(evacuated) && unusable_until.iter().all(|until| now >= *until)
     }
 
@@ -177,6 +184,11 @@
         }
     }
 
+    /// Records that another endpoint listens at the address.
+    pub(crate) fn record_reassigned(&mut self, now: Duration) {
+        self.reassigned_until = now + REASSIGNED_TIME;
+    }
+
     /// Records that the endpoint wants no request from this entry for a while.
     pub(crate) fn back_off(&mut self, now: Duration, delay: Duration) {
         let until = now + delay.min(MAX_BACKOFF);
--- a/crates/dispatch/src/dispatcher/record_outcome.rs
+++ b/crates/dispatch/src/dispatcher/record_outcome.rs
@@ -55,7 +55,7 @@
                 }
                 record_load(e, now, load);
             }
-            Outcome::Misdirected => e.address_reassigned = true,
+            Outcome::Misdirected => e.record_reassigned(now),
             Outcome::Unreachable => e.record_unreachable(now, first_send_at),
             Outcome::Failed => e.record_failure(now, 1),
             Outcome::Disconnected => {
--- a/crates/dispatch/tests/choices/lifetimes.rs
+++ b/crates/dispatch/tests/choices/lifetimes.rs
@@ -131,6 +131,48 @@
     }
 }
 
+/// Guards against an endpoint that is never used again because another one once held its address.
+#[test]
+fn an_endpoint_whose_address_was_reassigned_is_used_again_if_it_stays_listed() {
+    struct Case {
+        name: &'static str,
+        /// When the endpoint is missing from the list, if it is.
+        unlisted_at: Option<Duration>,
+        until: Duration,
+        used: bool,
+    }
+    let cases = [
+        Case {
+            name: "soon after",
+            unlisted_at: None,
+            until: NOW + ms(10_000),
+            used: false,
+        },
+        Case {
+            name: "listed for long",
+            unlisted_at: None,
+            until: NOW + ms(40_000),
+            used: true,
+        },
+        Case {
+            name: "left and came back",
+            unlisted_at: Some(NOW + ms(3_000)),
+            until: NOW + ms(5_000),
+            used: true,
+        },
+    ];
+    for case in cases {
+        let mut entry = dispatcher(&[record(1, "a")]);
+        let notices = EndpointNotices::default();
+        assert!(send(&mut entry, NOW, notices, Outcome::Misdirected));
+        if let Some(at) = case.unlisted_at {
+            entry.update_endpoints(at, &[]);
+        }
+        listed(&mut entry, case.until, EndpointState::Ready, ms(0));
+        assert_eq!(is_used(&mut entry, case.until), case.used, "{}", case.name);
+    }
+}
+
 /// Guards against an endpoint that has started again and stays unused for as long as it wanted no
 /// requests before.
 #[test]
