Name another version of the endpoint list when an endpoint starts again while cold

Cause: the digest that names a version of the list had only whether an endpoint is reported as cold. An endpoint that started again during a cold start, or while the end of one was still reported (1 s), changed no digest. Entries and replicas asked with that digest and were told that nothing had changed.

They learned of the second one only with another change of the list.

The digest now includes the end of each reported cold start. A reading that differs by up to 300 ms from the end that is known keeps the known one, so that further readings of one cold start have the same digest. The list of instances whose cold start was extended without a new digest is no longer needed. Messages are the same. Replicas take over the digest of the list that they receive, so that builds can differ; after a change of leader the next reading names a new version, with a difference that holds no endpoints.

--- a/crates/fleet/src/endpoint_history.rs
+++ b/crates/fleet/src/endpoint_history.rs
@@ -1,3 +1,4 @@
+use crate::endpoint_list::COLD_END_TOLERANCE;
 use crate::{EndpointDifference, EndpointList};
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
@@ -10,10 +11,6 @@
 /// about 1 MiB.
 const MAX_CHANGED_INSTANCES: usize = 16_384;
 
-/// Change of the end of a cold start below which it is not reported again. Two readings of the same
-/// cold start differ by their durations.
-const COLD_END_TOLERANCE: Duration = Duration::from_millis(300);
-
 /// The step from one version of the endpoint list to the next.
 #[derive(Clone, Debug)]
 struct Step {
@@ -28,21 +25,16 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EndpointHistory {
     steps: VecDeque<Step>,
-    /// Instances whose cold start was extended without a change of the digest. They belong to the
-    /// next step.
-    extended_cold_starts: Vec<String>,
     instance_count: usize,
 }
 
 impl EndpointHistory {
     /// Records that `later` has replaced `earlier`.
     pub(crate) fn record(&mut self, earlier: &EndpointList, later: &EndpointList) {
-        let mut instances = changed_instances(earlier, later);
         if earlier.digest == later.digest {
-            self.extended_cold_starts.append(&mut instances);
             return;
         }
-        instances.append(&mut self.extended_cold_starts);
+        let instances = changed_instances(earlier, later);
         self.instance_count += instances.len();
         self.steps.push_back(Step {
             base: earlier.digest,
--- a/crates/fleet/src/endpoint_list.rs
+++ b/crates/fleet/src/endpoint_list.rs
@@ -11,6 +11,10 @@
 /// can reach an entry after the end.
 const COLD_REPORT_TIME: Duration = Duration::from_secs(1);
 
+/// Change of the end of a cold start above which it is another cold start. Two readings of the same one
+/// differ by their durations.
+pub(crate) const COLD_END_TOLERANCE: Duration = Duration::from_millis(300);
+
 /// A copy of the platform's list of endpoints.
 #[derive(Clone, Debug)]
 pub struct EndpointList {
@@ -99,15 +103,18 @@
         (difference.base == self.digest && list.checksum == checksum).then_some(list)
     }
 
-    /// Adopts the cold starts that ended lately according to an earlier list.
+    /// Adopts the cold starts that an earlier list reports: those that ended lately, and the ends of those
+    /// that are read once more.
     pub(crate) fn inherit_cold_starts(&mut self, earlier: &EndpointList) {
         let reported = (earlier.cold_until.iter()).filter(|(instance, until)| {
             self.read_at < **until + COLD_REPORT_TIME && self.endpoint(instance).is_some()
         });
         let inherited: Vec<_> = reported.map(|(i, until)| (i.clone(), *until)).collect();
         for (instance, until) in inherited {
-            let known = self.cold_until.entry(instance).or_insert(until);
-            *known = until.max(*known);
+            let read = self.cold_until.entry(instance).or_insert(until);
+            if *read <= until + COLD_END_TOLERANCE {
+                *read = until;
+            }
         }
         self.digest = digest(&self.endpoints, &self.cold_until);
     }
@@ -148,20 +155,20 @@
     }
 }
 
-/// Digest of a sorted list. It includes only whether an endpoint is reported as cold, not for how
-/// long, because that time changes with every query.
+/// Digest of a sorted list. It includes the ends of cold starts, because an endpoint can start again
+/// while it is reported as cold.
 fn digest(endpoints: &[EndpointRecord], cold_until: &BTreeMap<String, Duration>) -> u64 {
     let mut hasher = Xxh3::new();
     for e in endpoints {
         let text = format!(
-            "{}\n{}\n{}\n{}\n{}\n{:?}\n{}\n",
+            "{}\n{}\n{}\n{}\n{}\n{:?}\n{:?}\n",
             e.instance,
             e.service,
             e.address,
             e.failure_domain,
             e.slots,
             e.state,
-            !cold_until.contains_key(&e.instance)
+            cold_until.get(&e.instance)
         );
         hasher.update(text.as_bytes());
     }
