Discard a health check that was sent before a connection was lost

Cause: the response to a health check lifted the suspicion that an endpoint has restarted, also if an idle connection was found closed after the check had been sent. The check may have reached the process that then ended, which was not cold. An attempt that failed in that time discarded the check; an idle connection that was found closed did not.

What callers saw: the entry sent the new process the full load while it was cold (rule FAILBACK).

The loss of a connection now discards a check that is under way, and the next request asks for another one.

--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -253,6 +253,8 @@
     /// no more requests than a cold one, the first of them at `first_send_at`.
     pub(crate) fn suspect_restart(&mut self, now: Duration, first_send_at: Duration) {
         self.restart_suspected_at = Some(now);
+        // A check that is under way may have reached the process that has ended.
+        self.health_check = HealthCheckState::NotNeeded;
         if !self.is_cold(now) {
             self.cold_limiter.start(first_send_at);
         }
--- a/crates/dispatch/tests/choices/lifetimes.rs
+++ b/crates/dispatch/tests/choices/lifetimes.rs
@@ -1,7 +1,7 @@
 //! Tests of endpoints that start again under their instance identifier and address.
 
 use crate::support::{NOW, dispatcher, evacuate, ms, record, request};
-use mangospindle_dispatch::{Dispatcher, EndpointNotices, Outcome};
+use mangospindle_dispatch::{Dispatcher, EndpointNotices, HealthReport, Outcome};
 use mangospindle_fleet::{EndpointRecord, EndpointState};
 use std::time::Duration;
 
@@ -240,3 +240,50 @@
     assert!(sent.count() <= 1);
     assert_eq!(entry.take_health_checks(now + ms(20)).len(), 1);
 }
+
+/// Guards against a health check that reached the former lifetime of an endpoint, and whose response
+/// lifts the suspicion that it has restarted since.
+#[test]
+fn a_health_check_from_before_the_loss_of_a_connection_lifts_no_suspicion() {
+    struct Case {
+        name: &'static str,
+        /// Whether a connection is lost between the check and its response.
+        lost: bool,
+        /// Whether the endpoint gets the full load after the response.
+        warm: bool,
+    }
+    let cases = [
+        Case {
+            name: "connection lost after the check was sent",
+            lost: true,
+            warm: false,
+        },
+        Case {
+            name: "no connection lost since",
+            lost: false,
+            warm: true,
+        },
+    ];
+    let notices = EndpointNotices::default();
+    for case in cases {
+        let mut entry = dispatcher(&[record(1, "a")]);
+        entry.update_region_entries(NOW, 100);
+        assert!(send(&mut entry, NOW, notices, Outcome::ClosedWhileIdle));
+        send(&mut entry, NOW + ms(10), notices, ANSWERED);
+        let checks = entry.take_health_checks(NOW + ms(10));
+        assert_eq!(checks.len(), 1, "{}", case.name);
+        if case.lost {
+            entry.record_idle_close(NOW + ms(20), checks[0].endpoint);
+        }
+        let report = HealthReport::Answered {
+            healthy: true,
+            cold_for: Some(Duration::ZERO),
+        };
+        entry.record_health_check(NOW + ms(30), checks[0].endpoint, report);
+        let now = NOW + ms(40);
+        let sent = (0..10).filter(|n| send(&mut entry, now + ms(*n), notices, ANSWERED));
+        assert_eq!(sent.count() > 1, case.warm, "{}", case.name);
+        let checks = entry.take_health_checks(now + ms(10));
+        assert_eq!(checks.is_empty(), case.warm, "{}", case.name);
+    }
+}
