--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -2,7 +2,7 @@
 use crate::health_check::HealthCheckState;
 use crate::load_estimate::LoadEstimate;
 use crate::working_set::WorkingSet;
-use mangospindle_fleet::EndpointState;
+use mangospindle_fleet::{EndpointRecord, EndpointState};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,6 +19,13 @@
 /// one that is still listed by then stays in use.
 const LEAVING_TIME: Duration = Duration::from_secs(30);
 
+/// Time for which an endpoint gets no request after another one has responded at its address. The list
+/// shows its end earlier; one that is still listed by then may have started again at its address.
+const REASSIGNED_TIME: Duration = Duration::from_secs(30);
+
+/// Time by which the list may date a cold start too late, because its content lags behind.
+const MAX_LIST_LAG: Duration = Duration::from_secs(3);
+
 /// Longest time for which an endpoint is left alone at its own request.
 const MAX_BACKOFF: Duration = Duration::from_secs(60);
 
@@ -38,8 +45,8 @@
     pub(crate) failure_domain: String,
     pub(crate) slots: u32,
     pub(crate) state: EndpointState,
-    /// Whether another endpoint now listens at the address.
-    pub(crate) address_reassigned: bool,
+    /// Until when another endpoint is assumed to listen at the address.
+    reassigned_until: Duration,
     /// End of the latest known cold start; `None` if the endpoint was never cold.
     cold_until: Option<Duration>,
     /// Time after the end of a cold start during which this entry still treats the endpoint as
@@ -70,11 +77,7 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(
-        record: &mangospindle_fleet::EndpointRecord,
-        now: Duration,
-        cold_margin: Duration,
-    ) -> Self {
+    pub(crate) fn new(record: &EndpointRecord, now: Duration, cold_margin: Duration) -> Self {
         let mut endpoint = Endpoint {
             instance: record.instance.clone(),
             service: record.service.clone(),
@@ -82,7 +85,7 @@
             failure_domain: record.failure_domain.clone(),
             slots: record.slots.max(1),
             state: record.state,
-            address_reassigned: false,
+            reassigned_until: Duration::ZERO,
             cold_until: None,
             cold_margin,
             cold_limiter: EntryRateLimiter::default(),
@@ -105,16 +108,65 @@
         endpoint
     }
 
+    /// Whether the record names the service and the address of the endpoint.
+    pub(crate) fn is_at_place_of(&self, record: &EndpointRecord) -> bool {
+        self.address == record.address && self.service == record.service
+    }
+
+    /// Whether the record is that of the lifetime of which this is the state. An endpoint that was
+    /// draining and is ready has started again.
+    pub(crate) fn is_same_lifetime(&self, record: &EndpointRecord) -> bool {
+        let stopped = self.state == EndpointState::Draining && record.state == EndpointState::Ready;
+        !stopped && self.is_at_place_of(record)
+    }
+
+    /// State of a later lifetime of the endpoint, which knows nothing of what it said before. A cold
+    /// start of which this entry knows, or which it suspects, may be that of the later lifetime.
+    pub(crate) fn next_lifetime(
+        &self,
+        now: Duration,
+        record: &EndpointRecord,
+        cold_start: Duration,
+    ) -> Self {
+        let mut next = Endpoint {
+            cold_until: self.cold_until,
+            cold_limiter: self.cold_limiter,
+            restart_suspected_at: self.restart_suspected_at,
+            ..Endpoint::new(record, now, self.cold_margin)
+        };
+        next.update(now, record, cold_start);
+        next
+    }
+
+    /// Applies the current record of the endpoint. `cold_start` is the duration of its cold starts.
+    pub(crate) fn update(&mut self, now: Duration, record: &EndpointRecord, cold_start: Duration) {
+        self.state = record.state;
+        self.slots = record.slots.max(1);
+        match record.cold_for {
+            Duration::ZERO => {}
+            _ if record.cold_start_has_ended() && self.was_cold_lately(now) => {}
+            cold_for if record.cold_start_has_ended() => self.mark_cold(now, cold_for),
+            cold_for => {
+                self.mark_cold(now, cold_for);
+                let cold_since = cold_start.saturating_sub(cold_for);
+                self.record_listed_start(now.saturating_sub(cold_since));
+            }
+        }
+    }
+
     /// Whether the endpoint may receive requests, regardless of ejection.
     pub(crate) fn is_eligible(&self, evacuated: &BTreeSet<String>) -> bool {
-        self.state == EndpointState::Ready
-            && !self.address_reassigned
-            && !evacuated.contains(&self.failure_domain)
+        self.state == EndpointState::Ready && !evacuated.contains(&self.failure_domain)
     }
 
     /// Whether the endpoint is eligible, not ejected and accepts requests of this entry.
     pub(crate) fn is_usable(&self, now: Duration, evacuated: &BTreeSet<String>) -> bool {
-        let unusable_until = [self.ejected_until, self.backoff_until, self.leaving_until];
+        let unusable_until = [
+            self.ejected_until,
+            self.backoff_until,
+            self.leaving_until,
+            self.reassigned_until,
+        ];
         self.is_eligible(evacuated) && unusable_until.iter().all(|until| now >= *until)
     }
 
@@ -123,6 +175,20 @@
         self.leaving_until = now + LEAVING_TIME;
     }
 
+    /// Records a cold start that the list reports to have begun at `began_at`. If the endpoint is listed
+    /// as ready although it said before that it is about to stop, it has started again since.
+    fn record_listed_start(&mut self, began_at: Duration) {
+        let said_at = self.leaving_until.saturating_sub(LEAVING_TIME);
+        if self.state == EndpointState::Ready && began_at >= said_at + MAX_LIST_LAG {
+            self.leaving_until = Duration::ZERO;
+        }
+    }
+
+    /// Records that another endpoint listens at the address.
+    pub(crate) fn record_reassigned(&mut self, now: Duration) {
+        self.reassigned_until = now + REASSIGNED_TIME;
+    }
+
     /// Records that the endpoint wants no request from this entry for a while.
     pub(crate) fn back_off(&mut self, now: Duration, delay: Duration) {
         let until = now + delay.min(MAX_BACKOFF);
@@ -134,7 +200,7 @@
     }
 
     /// Whether this entry knows of a cold start that has not ended, or has ended lately.
-    pub(crate) fn was_cold_lately(&self, now: Duration) -> bool {
+    fn was_cold_lately(&self, now: Duration) -> bool {
         (self.cold_until).is_some_and(|until| now < until + KNOWN_COLD_START_TIME)
     }
 
@@ -187,6 +253,8 @@
     /// no more requests than a cold one, the first of them at `first_send_at`.
     pub(crate) fn suspect_restart(&mut self, now: Duration, first_send_at: Duration) {
         self.restart_suspected_at = Some(now);
+        // A check that is under way may have reached the process that has ended.
+        self.health_check = HealthCheckState::NotNeeded;
         if !self.is_cold(now) {
             self.cold_limiter.start(first_send_at);
         }
@@ -268,8 +336,6 @@
     /// Marks the endpoint as cold for at least `duration` and clears its working set.
     pub(crate) fn mark_cold(&mut self, now: Duration, duration: Duration) {
         if !self.is_cold(now) {
-            // The endpoint has started again, with its instance identifier.
-            self.leaving_until = Duration::ZERO;
             self.cold_limiter.reset();
         }
         self.cold_until = self.cold_until.max(Some(now + duration));
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -21,9 +21,6 @@
 const COLD_MARGIN_AND_JITTER: (Duration, Duration) =
     (Duration::from_millis(1100), Duration::from_millis(1200));
 
-/// Retention of the highest number of live entries. Longer than most network partitions.
-const REGION_ENTRIES_RETENTION: Duration = Duration::from_secs(60);
-
 /// Cold start duration of endpoints whose service is not in the routes.
 pub(super) const DEFAULT_COLD_START: Duration = Duration::from_secs(3);
 
@@ -57,32 +54,28 @@
     }
 
     fn update_endpoint(&mut self, now: Duration, record: &EndpointRecord) {
-        let existing = self.by_instance.get(&record.instance);
-        let existing = existing.and_then(|key| self.endpoints.get_mut(key));
-        match existing {
-            Some(e) if e.address == record.address && e.service == record.service => {
-                e.state = record.state;
-                e.slots = record.slots.max(1);
-                let is_news = !record.cold_start_has_ended() || !e.was_cold_lately(now);
-                if is_news && !record.cold_for.is_zero() {
-                    e.mark_cold(now, record.cold_for);
-                }
-            }
-            _ => {
-                if let Some(key) = self.by_instance.get(&record.instance) {
-                    self.endpoints.remove(key);
-                }
-                let key = EndpointKey(self.next_key);
-                self.next_key += 1;
-                let margin = COLD_MARGIN_AND_JITTER.0
-                    + COLD_MARGIN_AND_JITTER
-                        .1
-                        .mul_f64(self.rng.random_range(0.0..1.0));
-                self.endpoints
-                    .insert(key, Endpoint::new(record, now, margin));
-                self.by_instance.insert(record.instance.clone(), key);
-            }
+        let service = self.routes.services.get(&record.service);
+        let cold_start = service.map_or(DEFAULT_COLD_START, |s| s.cold_start);
+        let known = self.by_instance.get(&record.instance).copied();
+        let existing = known.and_then(|key| self.endpoints.get_mut(&key));
+        let endpoint = match existing {
+            Some(e) if e.is_same_lifetime(record) => return e.update(now, record, cold_start),
+            Some(e) if e.is_at_place_of(record) => e.next_lifetime(now, record, cold_start),
+            _ => Endpoint::new(record, now, self.cold_margin()),
+        };
+        if let Some(key) = known {
+            self.endpoints.remove(&key);
         }
+        let key = EndpointKey(self.next_key);
+        self.next_key += 1;
+        self.endpoints.insert(key, endpoint);
+        self.by_instance.insert(record.instance.clone(), key);
+    }
+
+    /// Draws the time for which an endpoint still counts as cold after its cold start.
+    fn cold_margin(&mut self) -> Duration {
+        let (min, jitter) = COLD_MARGIN_AND_JITTER;
+        min + jitter.mul_f64(self.rng.random_range(0.0..1.0))
     }
 
     /// Replaces the routes and the evacuated failure domains.
@@ -105,14 +98,10 @@
         self.group_by_service();
     }
 
-    /// Updates the number of live entries in this region. A lower number takes effect only after a
-    /// minute. Entries that are partitioned from the control replicas are not counted as live but
-    /// still send requests, and a replica that was partitioned itself reports too few.
-    pub fn update_region_entries(&mut self, now: Duration, region_entries: u32) {
-        let (highest, counted_at) = self.region_entries;
-        if region_entries >= highest || now.saturating_sub(counted_at) >= REGION_ENTRIES_RETENTION {
-            self.region_entries = (region_entries.max(1), now);
-        }
+    /// Records a report of the number of live entries in this region. A lower number takes effect only
+    /// when all reports of a minute were lower.
+    pub fn update_region_entries(&mut self, now: Duration, reported: u32) {
+        self.region_entries.record(now, reported);
     }
 
     fn group_by_service(&mut self) {
@@ -120,7 +109,7 @@
         for (key, endpoint) in &self.endpoints {
             groups.entry(&endpoint.service).or_default().push(*key);
         }
-        let entries = self.region_entries.0 * self.settings.region_count() as u32;
+        let entries = self.region_entries.count() * self.settings.region_count() as u32;
         for service in self.services.values_mut() {
             service.endpoints.clear();
         }
--- a/crates/dispatch/tests/choices/main.rs
+++ b/crates/dispatch/tests/choices/main.rs
@@ -4,8 +4,10 @@
 
 mod cold;
 mod health_checks;
+mod lifetimes;
 mod notices;
 mod preferences;
+mod region_entries;
 mod restarts;
 mod stops;
 mod support;
