Read what callers sent before a connection is closed by its timeout

After a pause of an entry, the timers of its connections can end before the runtime has looked for bytes: the call that waits for events returns without any when the process is stopped in it. An entry that was resumed after the idle deadline of a connection closed it although the caller, within its own limit, had sent a request on it, and answered a request whose rest had arrived in time with 408. Callers saw a closed connection without an answer.

The connection now asks the socket itself before a timeout closes it, and reads on if there are bytes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -13,7 +13,9 @@
 use futures::stream::FuturesOrdered;
 use mangospindle_model::{ErrorKind, RequestLimits};
 use mangospindle_telemetry::event;
+use socket2::SockRef;
 use std::io;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -148,9 +150,12 @@
                 }
                 () = sleep_until(idle_deadline), if idle => {
                     // A configuration that came meanwhile may allow more time.
-                    if self.idle_deadline() <= idle_deadline {
+                    let expired = self.idle_deadline() <= idle_deadline;
+                    if expired && !self.has_unread_bytes() {
                         return self.handle_timeout().await;
                     }
+                    // The runtime looks for the unread bytes before it continues here.
+                    tokio::task::yield_now().await;
                 }
             }
         }
@@ -176,6 +181,15 @@
         }
     }
 
+    /// Whether the caller has sent bytes that were not read yet, or has closed the connection. Asks the
+    /// socket: after a pause of this process a timer can end before the runtime has looked for bytes.
+    fn has_unread_bytes(&self) -> bool {
+        let mut byte = [MaybeUninit::<u8>::uninit(); 1];
+        let stream: &TcpStream = self.read.as_ref();
+        let peeked = SockRef::from(stream).peek(&mut byte);
+        !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Whether another request may be started now.
     fn can_start(&self) -> bool {
         self.responses.len() < MAX_PIPELINED
