Answer connections that wait to be accepted when an entry stops

A stopping entry closed its listener at the moment at which it starts to refuse requests. The kernel resets the connections that it has opened for callers and that were not accepted yet, so callers that had just sent a request on a new connection got a reset without an answer. A short pause or a busy VM is enough to fill the queue.

The entry now accepts the waiting connections first; their requests are refused as not run, with a short Retry-After, like those on open connections.

A connection that arrives between the last accept and the close of the listener is still reset.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,11 +21,12 @@
 use rand::Rng;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 
 /// Delay after a failed `accept`, for instance when the process is out of file descriptors.
@@ -310,14 +311,14 @@
     }
 }
 
-/// Accepts connections until the gateway refuses new requests.
+/// Accepts connections until the gateway refuses new requests, and those that wait at that time.
 async fn accept_connections(gateway: Rc<Gateway>, listener: TcpListener, origin: Origin) {
     let mut phase = gateway.phase.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             // An error means that the sender was dropped, which happens when the process exits.
-            _ = phase.wait_for(|p| *p >= Phase::Finishing) => return,
+            _ = phase.wait_for(|p| *p >= Phase::Finishing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -329,4 +330,24 @@
             }
         }
     }
+    if let Err(e) = accept_waiting(&gateway, listener, origin) {
+        event!(Warn, "accept_failed", "reason" => e);
+    }
+}
+
+/// Accepts the connections that wait to be accepted, then closes the listener. Closing it resets them
+/// without a response, although their callers may have sent a request.
+fn accept_waiting(gateway: &Rc<Gateway>, listener: TcpListener, origin: Origin) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                let stream = TcpStream::from_std(stream)?;
+                tokio::task::spawn_local(serve_connection(Rc::clone(gateway), stream, origin));
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(e) => return Err(e),
+        }
+    }
 }
