Check connections to endpoints that may have restarted

Cause: an endpoint that restarts with its identifier and address answers no request with 421. Only an entry that lost an open connection, or failed twice to open one, suspected a restart. All others opened a connection to the new process and sent as before, up to 85 in one second; the platform's list reaches them 2 to 3 s later. The absence of a sign was taken for news that the endpoint is warm.

Now an entry that loses a connection, is refused one, or finds an endpoint cold reports that; replicas pass it on to all entries by held requests, within about 0.1 s. What is known of a process is tied to a connection to it: after a report, an entry checks a connection before a request, unless it was checked or has been open for longer than a cold start. Without complete reports (just started, frozen, cut off) it checks each new one. A new connection without a report carries one request within the entry's share of the cold rate; a quarter of these is checked afterwards, so that a restart that nobody noticed is found by the first of them.

Messages: a request of a new kind in the existing exchange; a replica of an earlier build answers it with an empty reply, after which the entry checks each new connection.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -18,6 +18,10 @@
     pub stream: TcpStream,
     /// Bytes that were read but not consumed yet.
     pub buf: BytesMut,
+    /// Upper bound of when the peer accepted the connection, on the local clock.
+    pub opened_at: Duration,
+    /// Whether the peer process is known to be past its cold start.
+    pub peer_is_warm: bool,
     /// When the peer last responded or accepted the connection, on the local clock.
     pub validated_at: Duration,
     /// When the connection last carried a caller's request, on the local clock.
@@ -42,6 +46,8 @@
         Ok(Connection {
             stream,
             buf: BytesMut::new(),
+            opened_at: now + timeout,
+            peer_is_warm: false,
             validated_at: now,
             last_used_at: now,
             expires_at: None,
--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -61,6 +61,7 @@
     keep_alive: bool,
     expected_id: ExpectedId,
     accepts_close_delimited: bool,
+    keeps_connection: bool,
 }
 
 impl<T> Exchange<T>
@@ -83,15 +84,28 @@
             keep_alive: false,
             expected_id,
             accepts_close_delimited: false,
+            keeps_connection: false,
         }
     }
 
+    /// Keeps the connection after the response, for [`abandon`](Self::abandon), instead of returning it
+    /// to the pool. A connection that cannot carry another request is closed all the same.
+    pub fn keep_connection(mut self) -> Self {
+        self.keeps_connection = true;
+        self
+    }
+
     /// Accepts a response whose body ends when the peer closes the connection.
     pub fn accept_close_delimited(mut self) -> Self {
         self.accepts_close_delimited = true;
         self
     }
 
+    /// Whether the connection is kept after the response.
+    pub fn keeps_connection(&self) -> bool {
+        self.keeps_connection
+    }
+
     /// Whether a byte of the request may have left this process.
     pub fn has_started(&self) -> bool {
         self.request_writer.has_started()
@@ -323,8 +337,11 @@
     fn finish(&mut self) {
         if let Some(mut lease) = self.lease.take() {
             let clean = lease.connection().is_some_and(|c| c.buf.is_empty());
-            if clean && self.keep_alive && self.request_writer.is_finished() {
-                lease.release();
+            let is_reusable = clean && self.keep_alive && self.request_writer.is_finished();
+            match self.keeps_connection {
+                _ if !is_reusable => {}
+                true => self.lease = Some(lease),
+                false => lease.release(),
             }
         }
     }
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -97,9 +97,17 @@
 
     /// Whether an idle connection to a target is open.
     pub fn has_open(&self, target: T) -> bool {
+        self.has_open_with(target, |_| true)
+    }
+
+    /// Whether an idle connection to a target that has a property is open.
+    pub fn has_open_with<F>(&self, target: T, property: F) -> bool
+    where
+        F: Fn(&Connection) -> bool,
+    {
         let idle = self.lock();
         let list = idle.get(&target);
-        list.is_some_and(|list| list.iter().any(|c| !c.is_closed_by_peer()))
+        list.is_some_and(|list| list.iter().any(|c| property(c) && !c.is_closed_by_peer()))
     }
 
     /// Closes the idle connections that the peer closed or on which it sent bytes without a request.
--- a/crates/control/src/published_state.rs
+++ b/crates/control/src/published_state.rs
@@ -1,5 +1,5 @@
 use mangospindle_consensus::{Member, ReplicaId, Role};
-use mangospindle_fleet::{EndpointList, ExchangeReply, Fleet, PeerKey};
+use mangospindle_fleet::{EndpointList, ExchangeReply, Fleet, PeerKey, RestartReports};
 use mangospindle_model::EntryId;
 use mangospindle_rpc::{CUT_OFF_AGE, EntryReport};
 use mangospindle_state::{EntryStatus, State};
@@ -36,6 +36,10 @@
     pub(crate) members: RefCell<Vec<ReplicaId>>,
     /// The fleet view: entries and endpoints. Also read by the threads that serve HTTP.
     fleet: Arc<Mutex<Fleet>>,
+    /// Endpoints to which entries lost connections.
+    pub(crate) restart_reports: RefCell<RestartReports>,
+    /// Number of restart reports, which wakes held requests.
+    pub(crate) report_count: watch::Sender<u64>,
 }
 
 impl PublishedState {
@@ -53,6 +57,8 @@
             applied_index: Arc::default(),
             members: RefCell::default(),
             fleet: Arc::new(Mutex::new(Fleet::new(rand::random()))),
+            restart_reports: RefCell::new(RestartReports::new(rand::random())),
+            report_count: watch::Sender::new(0),
         })
     }
 
--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -12,6 +12,7 @@
 use crate::published_state::PublishedState;
 use crate::replica::messages::{DiskDone, Stop};
 use crate::replica::{Parts, Replica};
+use crate::report_exchange::ReportExchange;
 use crate::service::ReplicaService;
 use crate::vm_list::poll_vm_list;
 use crate::wall_clock::SystemWallClock;
@@ -104,6 +105,11 @@
             replica: replica.clone(),
             published: Rc::clone(&published),
             replicas: replicas.clone(),
+            reports: Rc::new(ReportExchange {
+                peers: Rc::clone(&peers),
+                published: Rc::clone(&published),
+                clock: Arc::clone(&clock),
+            }),
             clock: Arc::clone(&clock),
         });
         let server = serve(listener, service, Arc::clone(&clock), server_counters);
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -3,11 +3,12 @@
 use crate::replica::Replica;
 use crate::replica::messages::{Deliver, Propose, SubmitQuery};
 use crate::replica::pending_queries::ConfirmedQuery;
+use crate::report_exchange::ReportExchange;
 use actix::Addr;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use mangospindle_consensus::Message;
-use mangospindle_fleet::ExchangeRequest;
+use mangospindle_fleet::{ExchangeError, ExchangeRequest, ReportRequest};
 use mangospindle_model::Clock;
 use mangospindle_rpc::{
     ControlService, MAX_WATCH_HOLD, Proposal, ProposeResult, QueryResult, WatchContent, WatchReply,
@@ -24,6 +25,7 @@
     pub(crate) replica: Addr<Replica>,
     pub(crate) published: Rc<PublishedState>,
     pub(crate) replicas: ReplicaSet,
+    pub(crate) reports: Rc<ReportExchange>,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -77,20 +79,14 @@
     }
 
     fn exchange(&self, request: Vec<u8>) -> LocalBoxFuture<'static, Vec<u8>> {
-        let reply = match ExchangeRequest::decode(&request) {
-            Ok(request) => {
-                let members = self.published.members.borrow();
-                let addresses = members.iter().filter_map(|m| self.replicas.address(*m));
-                let (now, addresses) = (self.clock.now(), addresses.collect());
-                let reply = self.published.fleet().respond(now, request, addresses);
-                reply.encode()
+        match ReportRequest::decode(&request) {
+            Some(Ok(request)) => {
+                let reports = Rc::clone(&self.reports);
+                async move { reports.respond(request).await.encode() }.boxed_local()
             }
-            Err(e) => {
-                log::warn!("{e}");
-                Vec::new()
-            }
-        };
-        futures::future::ready(reply).boxed_local()
+            Some(Err(e)) => futures::future::ready(refuse_exchange(&e)).boxed_local(),
+            None => futures::future::ready(self.exchange_views(&request)).boxed_local(),
+        }
     }
 
     fn query_claim(&self, key: ClaimKey) -> LocalBoxFuture<'static, QueryResult> {
@@ -105,6 +101,27 @@
     }
 }
 
+impl ReplicaService {
+    fn exchange_views(&self, request: &[u8]) -> Vec<u8> {
+        match ExchangeRequest::decode(request) {
+            Ok(request) => {
+                let members = self.published.members.borrow();
+                let addresses = members.iter().filter_map(|m| self.replicas.address(*m));
+                let (now, addresses) = (self.clock.now(), addresses.collect());
+                let reply = self.published.fleet().respond(now, request, addresses);
+                reply.encode()
+            }
+            Err(e) => refuse_exchange(&e),
+        }
+    }
+}
+
+/// The reply to a request that cannot be decoded.
+fn refuse_exchange(e: &ExchangeError) -> Vec<u8> {
+    log::warn!("{e}");
+    Vec::new()
+}
+
 fn watch_reply(
     published: &PublishedState,
     known_version: u64,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,6 +7,7 @@
 mod record_notices;
 mod record_outcome;
 mod region_endpoints;
+mod restart_reports;
 mod service;
 mod update;
 
@@ -35,6 +36,8 @@
     /// Whether a request could have used an endpoint that needs a health check first.
     health_checks_wanted: bool,
     region_entries: RegionEntries,
+    /// Until when the absence of a report means that no entry lost a connection to an endpoint.
+    reports_complete_until: Duration,
 }
 
 impl Dispatcher {
@@ -51,6 +54,7 @@
             next_key: 0,
             health_checks_wanted: false,
             region_entries: RegionEntries::default(),
+            reports_complete_until: Duration::ZERO,
         }
     }
 
--- a/crates/dispatch/src/dispatcher/endpoint.rs
+++ b/crates/dispatch/src/dispatcher/endpoint.rs
@@ -53,6 +53,8 @@
     /// cold.
     cold_margin: Duration,
     pub(crate) cold_limiter: EntryRateLimiter,
+    /// Limits the requests on connections that may lead to a process that has restarted unnoticed.
+    pub(crate) unchecked_limiter: EntryRateLimiter,
     /// Requests per second that the endpoint takes from all entries together, if its latest response
     /// named a limit.
     rate_limit: Option<f64>,
@@ -73,6 +75,9 @@
     /// When a connection was lost last, unless a health check or a cold start has told since whether
     /// the endpoint is cold.
     restart_suspected_at: Option<Duration>,
+    /// When this entry or another one lost a connection to the endpoint last, unless a health check or a
+    /// response of a process past its cold start has followed.
+    restart_reported_at: Option<Duration>,
     pub(crate) health_check: HealthCheckState,
 }
 
@@ -89,6 +94,7 @@
             cold_until: None,
             cold_margin,
             cold_limiter: EntryRateLimiter::default(),
+            unchecked_limiter: EntryRateLimiter::default(),
             rate_limit: None,
             rate_limiter: EntryRateLimiter::default(),
             load: LoadEstimate::default(),
@@ -100,6 +106,7 @@
             leaving_until: Duration::ZERO,
             unreachable: false,
             restart_suspected_at: None,
+            restart_reported_at: None,
             health_check: HealthCheckState::default(),
         };
         if !record.cold_for.is_zero() {
@@ -132,6 +139,7 @@
             cold_until: self.cold_until,
             cold_limiter: self.cold_limiter,
             restart_suspected_at: self.restart_suspected_at,
+            restart_reported_at: Some(now),
             ..Endpoint::new(record, now, self.cold_margin)
         };
         next.update(now, record, cold_start);
@@ -242,6 +250,7 @@
     /// Records a failure to open a connection.
     pub(crate) fn record_unreachable(&mut self, now: Duration, first_send_at: Duration) {
         self.unreachable = true;
+        self.record_restart_report(now);
         self.record_failure(now, 1);
         // A single failure may be that of the network; the next success marks the endpoint as cold.
         if self.needs_probe() {
@@ -253,13 +262,46 @@
     /// no more requests than a cold one, the first of them at `first_send_at`.
     pub(crate) fn suspect_restart(&mut self, now: Duration, first_send_at: Duration) {
         self.restart_suspected_at = Some(now);
-        // A check that is under way may have reached the process that has ended.
-        self.health_check = HealthCheckState::NotNeeded;
+        self.record_restart_report(now);
         if !self.is_cold(now) {
             self.cold_limiter.start(first_send_at);
         }
     }
 
+    /// Records a response of a process that is past its cold start to what was sent at `sent_at`. The process
+    /// may have ended since, if a restart was reported later.
+    pub(crate) fn record_warm_response(&mut self, sent_at: Duration) {
+        let doubts = [self.restart_suspected_at, self.restart_reported_at];
+        if doubts.iter().flatten().all(|at| *at < sent_at) {
+            self.restart_suspected_at = None;
+            self.restart_reported_at = None;
+            self.unreachable = false;
+        }
+    }
+
+    /// Records that this or another entry takes it that the endpoint may have restarted.
+    pub(crate) fn record_restart_report(&mut self, now: Duration) {
+        self.restart_reported_at = Some(now);
+        // A check that is under way may have reached the process that has ended.
+        self.health_check = HealthCheckState::NotNeeded;
+    }
+
+    /// Whether no connection to a process past its cold start is known since a report.
+    pub(crate) fn is_reported(&self) -> bool {
+        self.restart_reported_at.is_some()
+    }
+
+    /// Whether the endpoint was reported at `since` or later, so that a check that began then may have reached a
+    /// process that has ended.
+    pub(crate) fn is_reported_since(&self, since: Duration) -> bool {
+        self.restart_reported_at.is_some_and(|at| at >= since)
+    }
+
+    /// Whether the last attempt to open a connection failed.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.unreachable
+    }
+
     /// The rate limit that the endpoint named, in requests per second.
     pub(crate) fn rate_limit(&self) -> Option<f64> {
         self.rate_limit
@@ -311,6 +353,7 @@
     ) {
         let was_unreachable = std::mem::take(&mut self.unreachable);
         self.restart_suspected_at = None;
+        self.restart_reported_at = None;
         let cold_for = match cold_for {
             Some(cold_for) => cold_for,
             None if was_unreachable => cold_start,
--- a/crates/dispatch/src/dispatcher/record_outcome.rs
+++ b/crates/dispatch/src/dispatcher/record_outcome.rs
@@ -63,6 +63,8 @@
                 e.record_failure(now, 1);
             }
             Outcome::ClosedWhileIdle => e.suspect_restart(now, first_send_at),
+            Outcome::CheckRejected { load } => record_load(e, now, load),
+            Outcome::CheckTimedOut => e.suspect_restart(now, first_send_at),
             Outcome::TimedOut => e.record_failure(now, TIMEOUT_FAILURES),
             Outcome::Cancelled => {}
         }
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -18,7 +18,7 @@
 /// of the jitter that each entry adds to it. The cold rate limit applies to each one-second window
 /// that begins during the cold start. Without jitter, all entries would send a request to an idle
 /// endpoint at the moment it counts as warm.
-const COLD_MARGIN_AND_JITTER: (Duration, Duration) =
+pub(super) const COLD_MARGIN_AND_JITTER: (Duration, Duration) =
     (Duration::from_millis(1100), Duration::from_millis(1200));
 
 /// Cold start duration of endpoints whose service is not in the routes.
--- a/crates/dispatch/src/health_check.rs
+++ b/crates/dispatch/src/health_check.rs
@@ -45,6 +45,8 @@
         /// Load that the endpoint reported.
         load: Option<LoadReading>,
     },
+    /// Another endpoint now listens at the address.
+    Misdirected,
     /// There was no response, or that of another instance.
     Unanswered,
 }
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -32,6 +32,13 @@
     Disconnected,
     /// The idle connections were closed early by the endpoint, which may have restarted. Nothing was sent.
     ClosedWhileIdle,
+    /// The endpoint rejected the check of a connection before the request. Nothing was sent.
+    CheckRejected {
+        /// Load reported in the rejection.
+        load: Option<LoadReading>,
+    },
+    /// The endpoint did not answer the check of a connection before the request. Nothing was sent.
+    CheckTimedOut,
     /// The endpoint did not respond in time.
     TimedOut,
     /// The attempt was cancelled, for example because the caller disconnected.
@@ -48,6 +55,8 @@
             | Outcome::Rejected { .. }
             | Outcome::Misdirected
             | Outcome::Failed
+            | Outcome::CheckRejected { .. }
+            | Outcome::CheckTimedOut
             | Outcome::TimedOut
             | Outcome::Cancelled => false,
         }
@@ -58,12 +67,14 @@
         match self {
             Outcome::Answered { load, .. }
             | Outcome::EndpointError { load }
-            | Outcome::Rejected { load } => *load,
+            | Outcome::Rejected { load }
+            | Outcome::CheckRejected { load } => *load,
             Outcome::Misdirected
             | Outcome::Unreachable
             | Outcome::Failed
             | Outcome::Disconnected
             | Outcome::ClosedWhileIdle
+            | Outcome::CheckTimedOut
             | Outcome::TimedOut
             | Outcome::Cancelled => None,
         }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -73,6 +73,12 @@
 #[error("a fleet message cannot be decoded: {0}")]
 pub struct ExchangeError(String);
 
+impl From<postcard::Error> for ExchangeError {
+    fn from(e: postcard::Error) -> Self {
+        ExchangeError(e.to_string())
+    }
+}
+
 impl ExchangeRequest {
     /// Encodes the message.
     pub fn encode(&self) -> Vec<u8> {
@@ -134,11 +140,10 @@
     T: DeserializeOwned,
     E: DeserializeOwned,
 {
-    let error = |e: postcard::Error| ExchangeError(e.to_string());
-    let (message, rest) = postcard::take_from_bytes(bytes).map_err(error)?;
+    let (message, rest) = postcard::take_from_bytes(bytes)?;
     let extension = match rest.is_empty() {
         true => None,
-        false => Some(postcard::from_bytes(rest).map_err(error)?),
+        false => Some(postcard::from_bytes(rest)?),
     };
     Ok((message, extension))
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,8 @@
 mod peer_entries;
 mod poll_schedule;
 mod relay_peers;
+mod report_exchange;
+mod restart_reports;
 pub mod timing;
 
 pub use endpoint_copy::{EndpointCopy, EndpointCopyError, EndpointUpdate};
@@ -40,3 +42,5 @@
 pub use fleet::{CallerLocation, EntryLookup, Fleet, PeerKey, SentLists};
 pub use poll_schedule::{PollRole, PollSchedule, list_poll_interval};
 pub use relay_peers::RelayPeers;
+pub use report_exchange::{FollowReports, ReportReply, ReportRequest};
+pub use restart_reports::{ReportPosition, RestartReports};
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -17,3 +17,19 @@
 /// Draining endpoints must be known everywhere within seconds, and an unchanged list costs a few
 /// bytes.
 pub const LIST_EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Maximum time for which a replica holds a request for restart reports. An entry whose reply is overdue no
+/// longer takes the absence of reports for good news.
+pub const REPORT_HOLD: Duration = Duration::from_millis(500);
+
+/// Time after the start of a request for which its reply says that there are no other reports: the hold times of
+/// this and the next request, a round trip between regions and some load.
+pub const REPORTS_VALID_TIME: Duration = Duration::from_millis(1200);
+
+/// Longest time since a replica was last known to be connected to a majority for which it calls its reports
+/// complete.
+pub const MAX_REPORTS_CONFIRMED_AGE: Duration = Duration::from_millis(800);
+
+/// Time for which an entry or a replica collects reports before it sends them. The connections that an
+/// endpoint loses at its end are noticed one after the other.
+pub const REPORT_BATCH_TIME: Duration = Duration::from_millis(15);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to an endpoint.
 
-use crate::connect::{ConnectError, connect};
+use crate::connect::ConnectError;
+use crate::connection_check::{NoConnection, check_later, connect_for_request, draw_later_check};
 use crate::connection_target::ConnectionTarget;
 use crate::gateway::Gateway;
 use crate::inbound_request::InboundRequest;
@@ -13,8 +14,8 @@
 use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream};
 use mangospindle_client::{
-    BodyFraming, BodyStream, Exchange, ExchangeError, ExpectedId, RequestHead, RequestWriter,
-    ResponseHead, end_to_end_headers,
+    BodyFraming, BodyStream, Exchange, ExchangeError, ExpectedId, Lease, RequestHead,
+    RequestWriter, ResponseHead, end_to_end_headers,
 };
 use mangospindle_dispatch::{Choice, Outcome};
 use mangospindle_telemetry::event;
@@ -36,6 +37,8 @@
     Rejected,
     /// Nothing was sent to the endpoint.
     Unreachable,
+    /// Nothing was sent to the endpoint: its check found that it is cold, or had no result in time.
+    Unchecked,
     /// The request may have run, but there is no complete response.
     Failed(ExchangeError),
     /// The deadline passed; the request may have run.
@@ -52,6 +55,7 @@
             AttemptResult::ServerError(_) => "error",
             AttemptResult::Rejected => "rejected",
             AttemptResult::Unreachable => "unreachable",
+            AttemptResult::Unchecked => "unchecked",
             AttemptResult::Failed(_) => "failed",
             AttemptResult::TimedOut => "timed_out",
             AttemptResult::Interrupted => "interrupted",
@@ -80,22 +84,34 @@
     choice: &Choice,
 ) -> AttemptResult {
     let mut guard = SendGuard::new(Rc::clone(gateway), choice.ticket);
-    let remaining = context.deadline.saturating_sub(gateway.now());
-    let (endpoint, address) = (choice.ticket.endpoint, choice.address);
-    let lease = match connect(gateway, endpoint, address, context.idempotent, remaining).await {
+    let mut lease = match connect_for_request(gateway, choice, context).await {
         Ok(lease) => lease,
         Err(e) => {
             log::debug!("no connection to {}: {e}", choice.address);
-            guard.finish(match e {
-                ConnectError::ClosedWhileIdle => Outcome::ClosedWhileIdle,
-                ConnectError::Unreachable(_) => Outcome::Unreachable,
-            });
-            return AttemptResult::Unreachable;
+            let (outcome, result) = match e {
+                NoConnection::Connect(ConnectError::ClosedWhileIdle) => {
+                    (Outcome::ClosedWhileIdle, AttemptResult::Unreachable)
+                }
+                NoConnection::Connect(ConnectError::Unreachable(_)) => {
+                    (Outcome::Unreachable, AttemptResult::Unreachable)
+                }
+                NoConnection::Cold => (Outcome::Cancelled, AttemptResult::Unchecked),
+                NoConnection::Misdirected => (Outcome::Misdirected, AttemptResult::Unchecked),
+                NoConnection::CheckRejected { load } => {
+                    (Outcome::CheckRejected { load }, AttemptResult::Unchecked)
+                }
+                NoConnection::CheckTimedOut => (Outcome::CheckTimedOut, AttemptResult::Unchecked),
+            };
+            guard.finish(outcome);
+            return result;
         }
     };
+    let peer_is_warm = lease.connection().is_some_and(|c| c.peer_is_warm);
+    let checks_later = !peer_is_warm && !choice.cold && draw_later_check();
     event!(Debug, "request_connected", "request" => context.id, "endpoint" => choice.instance,
         "reused" => lease.is_reused(), "others_open" => gateway.pool.has_open(lease.target()));
-    let remaining = context.deadline.saturating_sub(gateway.now());
+    let sent_at = gateway.now();
+    let remaining = context.deadline.saturating_sub(sent_at);
     let Ok(request_writer) = encode_request(gateway, context, choice, remaining) else {
         guard.finish(Outcome::Cancelled);
         return AttemptResult::Unreachable;
@@ -104,9 +120,17 @@
     let expected_id = ExpectedId::in_success(context.id);
     let mut exchange =
         Exchange::new(lease, method, request_writer, expected_id).accept_close_delimited();
+    if checks_later {
+        exchange = exchange.keep_connection();
+    }
     let head = exchange.send_request(&*gateway.clock);
     match tokio::time::timeout(remaining, head).await {
-        Ok(Ok(head)) => handle_response(gateway, context, choice, head, exchange, guard).await,
+        Ok(Ok(head)) => {
+            if peer_is_warm {
+                gateway.record_warm_response(sent_at, choice.ticket.endpoint);
+            }
+            handle_response(gateway, context, choice, head, exchange, guard).await
+        }
         Ok(Err(_)) if !exchange.has_started() => {
             guard.finish(Outcome::Unreachable);
             AttemptResult::Unreachable
@@ -177,13 +201,14 @@
 
 /// Classifies a response by its head and reads its body.
 async fn handle_response(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     context: &AttemptContext<'_>,
     choice: &Choice,
     head: ResponseHead,
     exchange: Exchange<ConnectionTarget>,
     mut guard: SendGuard,
 ) -> AttemptResult {
+    let checks_later = exchange.keeps_connection();
     (gateway.paths.borrow_mut()).record_response(gateway.now());
     let metadata = gateway.protocol.response_metadata(&head);
     if metadata.misdirected {
@@ -192,43 +217,56 @@
     }
     gateway.record_notices(choice, metadata.notices);
     if metadata.not_run {
-        drain_body(exchange).await;
+        let lease = drain_body(exchange).await;
         guard.finish(Outcome::Rejected {
             load: metadata.load,
         });
+        if checks_later {
+            check_later(gateway, choice, lease);
+        }
         return AttemptResult::Rejected;
     }
     guard.record_response_head(metadata.load);
     let server_error = head.status.is_server_error();
     let remaining = context.deadline.saturating_sub(gateway.now());
     let read = read_body(&head, exchange, guard, context.deadline, server_error);
-    match tokio::time::timeout(remaining, read).await {
-        Ok(Ok(body)) if server_error => {
-            AttemptResult::ServerError(Response::from_endpoint(&head, body))
-        }
-        Ok(Ok(body)) => AttemptResult::Success(Response::from_endpoint(&head, body)),
-        Ok(Err(e)) => AttemptResult::Failed(e),
-        Err(_) => AttemptResult::TimedOut,
+    let (body, lease) = match tokio::time::timeout(remaining, read).await {
+        Ok(Ok(read)) => read,
+        Ok(Err(e)) => return AttemptResult::Failed(e),
+        Err(_) => return AttemptResult::TimedOut,
+    };
+    if checks_later {
+        check_later(gateway, choice, lease);
+    }
+    let response = Response::from_endpoint(&head, body);
+    match server_error {
+        true => AttemptResult::ServerError(response),
+        false => AttemptResult::Success(response),
     }
 }
 
-/// Reads the rest of a short response, so that its connection can be reused.
-pub(crate) async fn drain_body(mut exchange: Exchange<ConnectionTarget>) {
+/// Reads the rest of a short response, so that its connection can be reused. Returns the connection if
+/// the exchange keeps it.
+pub(crate) async fn drain_body(
+    mut exchange: Exchange<ConnectionTarget>,
+) -> Option<Lease<ConnectionTarget>> {
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
     let read_rest =
         async { while let Some(Ok(_)) = poll_fn(|cx| exchange.poll_chunk(cx)).await {} };
     // If the body does not end in time, dropping the exchange closes the connection.
-    let _ = tokio::time::timeout(DRAIN_TIMEOUT, read_rest).await;
+    (tokio::time::timeout(DRAIN_TIMEOUT, read_rest).await).ok()?;
+    exchange.abandon()
 }
 
-/// Buffers the body of a response. A body beyond [`MAX_BUFFERED_BYTES`] is returned as a stream.
+/// Buffers the body of a response. A body beyond [`MAX_BUFFERED_BYTES`] is returned as a stream. Also
+/// returns the connection if the exchange keeps it.
 pub(crate) async fn read_body(
     head: &ResponseHead,
     mut exchange: Exchange<ConnectionTarget>,
     mut guard: SendGuard,
     deadline: Duration,
     server_error: bool,
-) -> Result<ResponseBody, ExchangeError> {
+) -> Result<(ResponseBody, Option<Lease<ConnectionTarget>>), ExchangeError> {
     // The bytes are copied: a chunk of one byte would keep its whole read buffer.
     let mut buf = BytesMut::new();
     loop {
@@ -247,21 +285,25 @@
                 BodyFraming::Length(n) => Some(n),
                 BodyFraming::None | BodyFraming::Chunked | BodyFraming::CloseDelimited => None,
             };
-            return Ok(ResponseBody::Streamed(Box::new(StreamedBody {
+            let body = StreamedBody {
                 buffered: buf.freeze(),
                 exchange,
                 length,
                 guard,
                 deadline,
-            })));
+            };
+            return Ok((ResponseBody::Streamed(Box::new(body)), None));
         }
     }
     match server_error {
         true => guard.finish(Outcome::EndpointError { load: None }),
         false => guard.finish_success(),
     }
-    if head.framing == BodyFraming::None {
-        return Ok(ResponseBody::None(head.content_length));
-    }
-    Ok(ResponseBody::Buffered(buf.freeze()))
+    let body = match head.framing {
+        BodyFraming::None => ResponseBody::None(head.content_length),
+        BodyFraming::Length(_) | BodyFraming::Chunked | BodyFraming::CloseDelimited => {
+            ResponseBody::Buffered(buf.freeze())
+        }
+    };
+    Ok((body, exchange.abandon()))
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -27,6 +27,10 @@
 /// Maximum number of unreachable endpoints that one request may try, in addition to its sends.
 const MAX_UNREACHABLE_ENDPOINTS: usize = 4;
 
+/// Maximum number of endpoints that one request may try whose checks failed or found them cold. Most endpoints of
+/// a service can restart at once.
+const MAX_UNCHECKED_ENDPOINTS: usize = 6;
+
 /// Number of unreachable endpoints after which a request is relayed to another entry.
 const UNREACHABLE_BEFORE_RELAY: usize = 2;
 
@@ -39,6 +43,8 @@
     sends: u32,
     /// Attempts that did not reach an endpoint.
     unreachable: usize,
+    /// Attempts that ended at the check of a new connection.
+    unchecked: usize,
     /// Whether an endpoint may have run the request.
     may_have_run: bool,
     /// Whether the request was offered to other entries.
@@ -208,6 +214,13 @@
                 }
                 continue;
             }
+            AttemptResult::Unchecked => {
+                history.unchecked += 1;
+                if history.unchecked > MAX_UNCHECKED_ENDPOINTS {
+                    return exhausted_response(context, history, gateway);
+                }
+                continue;
+            }
             AttemptResult::Failed(e) => {
                 history.may_have_run = true;
                 event!(Info, "endpoint_failed", "request" => context.id,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,8 +5,9 @@
 use crate::origin::Origin;
 use crate::protocol::Protocol;
 use crate::requests_in_progress::RequestsInProgress;
+use crate::restart_reports::PendingReports;
 use crate::settings::GatewaySettings;
-use crate::{control_sync, drain, health_checks, idle_connections, path_probes};
+use crate::{control_sync, drain, health_checks, idle_connections, path_probes, restart_reports};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
     Choice, Dispatcher, EndpointKey, EndpointNotices, HealthCheck, HealthReport, Outcome,
@@ -19,7 +20,7 @@
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use prometheus::Registry;
 use rand::Rng;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
@@ -73,6 +74,7 @@
     pub(crate) accepts_callers: Cell<bool>,
     /// Wakes the task that sends health checks, ahead of its interval.
     pub(crate) check_health_now: Notify,
+    pub(crate) pending_reports: PendingReports,
     registry: Registry,
     ready: Arc<AtomicBool>,
     dispatcher: RefCell<Dispatcher>,
@@ -125,6 +127,7 @@
             stop_schedule: Cell::new(None),
             announce_now: Notify::new(),
             check_health_now: Notify::new(),
+            pending_reports: PendingReports::default(),
             paths: RefCell::default(),
             peers_wanted_until: Cell::default(),
             accepts_callers: Cell::new(true),
@@ -145,6 +148,14 @@
             Rc::clone(&gateway),
             client.clone(),
         ));
+        tokio::task::spawn_local(restart_reports::send_reports(
+            Rc::clone(&gateway),
+            client.clone(),
+        ));
+        tokio::task::spawn_local(restart_reports::follow_reports(
+            Rc::clone(&gateway),
+            client.clone(),
+        ));
         tokio::task::spawn_local(control_sync::run_exchange(Rc::clone(&gateway), client));
         event!(Info, "gateway_started", "name" => gateway.settings.name,
             "public" => gateway.settings.public_listen, "incarnation" => gateway.incarnation);
@@ -196,6 +207,11 @@
         Arc::clone(self.dispatcher.borrow().routes())
     }
 
+    /// The state of the endpoints, for reading.
+    pub(crate) fn dispatcher(&self) -> Ref<'_, Dispatcher> {
+        self.dispatcher.borrow()
+    }
+
     /// Runs `f` on the dispatcher, then updates the metrics and the readiness.
     pub(crate) fn with_dispatcher<F, R>(&self, f: F) -> R
     where
@@ -227,21 +243,21 @@
     /// Records the outcome of an attempt.
     pub(crate) fn record_outcome(&self, ticket: SendTicket, outcome: Outcome) {
         let now = self.now();
-        let mut dispatcher = self.dispatcher.borrow_mut();
-        if outcome.is_sign_of_restart() {
-            let instance = dispatcher.instance(ticket.endpoint).unwrap_or_default();
-            event!(Debug, "endpoint_connection_lost", "endpoint" => instance,
-                "sign" => format!("{outcome:?}"));
+        // Each further failed attempt to connect would report an endpoint that is down once more.
+        let is_repeated =
+            outcome == Outcome::Unreachable && self.dispatcher().is_unreachable(ticket.endpoint);
+        if outcome.is_sign_of_restart() && !is_repeated {
+            self.report_restart(ticket.endpoint, &format!("{outcome:?}"));
         }
+        let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.record_outcome(now, ticket, outcome);
     }
 
     /// Records that an endpoint closed an idle connection early.
     pub(crate) fn record_idle_close(&self, endpoint: EndpointKey) {
         let now = self.now();
+        self.report_restart(endpoint, "IdleClose");
         let mut dispatcher = self.dispatcher.borrow_mut();
-        let instance = dispatcher.instance(endpoint).unwrap_or_default();
-        event!(Debug, "endpoint_connection_lost", "endpoint" => instance, "sign" => "IdleClose");
         dispatcher.record_idle_close(now, endpoint);
     }
 
@@ -268,6 +284,32 @@
         dispatcher.record_health_check(now, endpoint, report);
     }
 
+    /// Records how long an endpoint stays cold according to a check on a connection to it. Returns whether
+    /// it may get requests without the cold rate limit.
+    pub(crate) fn record_connection_check(
+        &self,
+        endpoint: EndpointKey,
+        began_at: Duration,
+        cold_for: Option<Duration>,
+    ) -> bool {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.record_connection_check(now, endpoint, began_at, cold_for)
+    }
+
+    /// Whether a request may be sent on a connection of unknown state before it is checked, and counts it.
+    pub(crate) fn allow_unchecked_send(&self, endpoint: EndpointKey) -> bool {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.allow_unchecked_send(now, endpoint)
+    }
+
+    /// Records a response of a process that is past its cold start to what was sent at `sent_at`.
+    pub(crate) fn record_warm_response(&self, sent_at: Duration, endpoint: EndpointKey) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.record_warm_response(sent_at, endpoint);
+    }
+
     /// Index of the target for the next request of a route, according to the target weights.
     /// `None` if the route has no target.
     pub(crate) fn next_target(&self, key: &RouteKey, route: &Route) -> Option<usize> {
--- a/crates/gateway/src/health_checks.rs
+++ b/crates/gateway/src/health_checks.rs
@@ -7,7 +7,9 @@
 use crate::gateway::Gateway;
 use actix_web::http::header::HeaderMap;
 use actix_web::http::{Method, StatusCode};
-use mangospindle_client::{BodyFraming, Exchange, ExpectedId, Lease, RequestHead, RequestWriter};
+use mangospindle_client::{
+    BodyFraming, Exchange, ExpectedId, Lease, RequestHead, RequestWriter, ResponseHead,
+};
 use mangospindle_dispatch::{HealthCheck, HealthReport};
 use mangospindle_telemetry::event;
 use std::rc::Rc;
@@ -37,26 +39,43 @@
     }
 }
 
-fn log_report(check: &HealthCheck, report: HealthReport) {
+pub(crate) fn log_report(check: &HealthCheck, report: HealthReport) {
     match report {
         HealthReport::Answered { healthy, cold_for } => {
             event!(Debug, "endpoint_checked", "endpoint" => check.instance, "healthy" => healthy,
                 "cold_ms" => cold_for.map_or(String::new(), |d| d.as_millis().to_string()));
         }
-        HealthReport::Rejected { .. } | HealthReport::Unanswered => {
+        HealthReport::Rejected { .. } | HealthReport::Misdirected | HealthReport::Unanswered => {
             event!(Debug, "endpoint_check_failed", "endpoint" => check.instance,
                 "reason" => format!("{report:?}"));
         }
     }
 }
 
-/// Sends a health check and returns what the expected instance reports.
+/// Sends a health check over a connection from the pool, or a new one, and returns what the expected
+/// instance reports.
 async fn check_health(gateway: &Gateway, check: &HealthCheck) -> HealthReport {
     let Ok(lease) = lease(gateway, check).await else {
         return HealthReport::Unanswered;
     };
+    let (report, lease) = check_on(gateway, check, lease, CHECK_TIMEOUT).await;
+    if let Some(lease) = lease {
+        lease.release();
+    }
+    report
+}
+
+/// Sends a health check over a connection. It may wait for a slot of the endpoint for `max_wait`. Also
+/// returns the connection, if a request with an id may follow: a second copy of a successful response without
+/// an id is not taken for the response to that.
+pub(crate) async fn check_on(
+    gateway: &Gateway,
+    check: &HealthCheck,
+    lease: Lease<ConnectionTarget>,
+    max_wait: Duration,
+) -> (HealthReport, Option<Lease<ConnectionTarget>>) {
     let mut headers = HeaderMap::new();
-    (gateway.protocol).set_request_headers(&mut headers, &check.instance, CHECK_TIMEOUT);
+    (gateway.protocol).set_request_headers(&mut headers, &check.instance, max_wait);
     let head = RequestHead {
         method: Method::GET,
         path: check.path.clone(),
@@ -64,26 +83,33 @@
     };
     let host = check.address.to_string();
     let Ok(writer) = RequestWriter::new(head, &host, BodyFraming::None, None) else {
-        return HealthReport::Unanswered;
+        return (HealthReport::Unanswered, None);
     };
-    let mut exchange = Exchange::new(lease, Method::GET, writer, ExpectedId::Absent);
+    let mut exchange =
+        Exchange::new(lease, Method::GET, writer, ExpectedId::Absent).keep_connection();
     let Ok(head) = exchange.send_request(&*gateway.clock).await else {
-        return HealthReport::Unanswered;
+        return (HealthReport::Unanswered, None);
     };
     (gateway.paths.borrow_mut()).record_response(gateway.now());
-    drain_body(exchange).await;
-    let metadata = gateway.protocol.response_metadata(&head);
-    match gateway.protocol.health_instance(&head) {
-        _ if metadata.misdirected => HealthReport::Unanswered,
+    let lease = drain_body(exchange).await;
+    let report = report(gateway, check, &head);
+    (report, lease.filter(|_| head.status == StatusCode::OK))
+}
+
+/// What the response to a health check says.
+fn report(gateway: &Gateway, check: &HealthCheck, head: &ResponseHead) -> HealthReport {
+    let metadata = gateway.protocol.response_metadata(head);
+    match gateway.protocol.health_instance(head) {
+        _ if metadata.misdirected => HealthReport::Misdirected,
         _ if metadata.not_run => HealthReport::Rejected {
             load: metadata.load,
         },
         // Only a rejection may leave out the instance, so this is not the response to a health check.
-        None if head.status == StatusCode::OK => HealthReport::Unanswered,
+        None => HealthReport::Unanswered,
         Some(instance) if instance != check.instance => HealthReport::Unanswered,
         _ => HealthReport::Answered {
             healthy: head.status == StatusCode::OK,
-            cold_for: gateway.protocol.health_cold_for(&head),
+            cold_for: gateway.protocol.health_cold_for(head),
         },
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod attempt;
 mod connect;
 mod connection;
+mod connection_check;
 mod connection_target;
 mod control_sync;
 mod drain;
@@ -35,6 +36,7 @@
 mod relay;
 mod requests_in_progress;
 mod response;
+mod restart_reports;
 mod send_guard;
 mod settings;
 mod writer;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -184,7 +184,7 @@
     let guard = SendGuard::relayed(Rc::clone(gateway));
     let body = read_body(&head, exchange, guard, context.deadline, false);
     match tokio::time::timeout(gateway.time_left(context), body).await {
-        Ok(Ok(body)) => RelayResult::Response(relayed_response(&head, body)),
+        Ok(Ok((body, _))) => RelayResult::Response(relayed_response(&head, body)),
         Ok(Err(e)) => RelayResult::Failed(e),
         Err(_) => RelayResult::TimedOut,
     }
