Keep refusing older endpoint lists after a rejected difference

An entry that rejects a difference of the endpoint list forgets the version that it holds and asks for the whole list. The check that refuses older lists was tied to that version, so the next reply could be an older list of another replica: an endpoint that had left or was draining was in use again. The entry still used the endpoints of the newer version until then.

The time of the list that is held is now kept and compared on its own.

Evidence: older_list_after_a_rejected_difference_does_not_undo_changes failed before and passes now. Not seen in a deployment; a difference is rejected only if it arrives damaged or the sender's history is wrong.

--- a/crates/fleet/src/endpoint_copy.rs
+++ b/crates/fleet/src/endpoint_copy.rs
@@ -26,8 +26,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointCopy {
     digest: u64,
-    /// Local time at which the platform was queried, or earlier.
-    read_at: Duration,
+    /// Local time at which the platform was queried, or earlier; `None` before the first list. It is kept
+    /// when a difference is rejected, because the entry goes on using the endpoints of that version.
+    read_at: Option<Duration>,
     /// Checksums of the records, by instance, and their sum.
     checksums: BTreeMap<String, u64>,
     sum: u64,
@@ -55,10 +56,10 @@
         };
         let read_at = requested_at.saturating_sub(age);
         if self.digest == reply.list_digest {
-            self.read_at = self.read_at.max(read_at);
+            self.read_at = self.read_at.max(Some(read_at));
             return Ok(EndpointUpdate::Unchanged);
         }
-        if self.digest != 0 && read_at <= self.read_at {
+        if self.read_at.is_some_and(|held| read_at <= held) {
             return Ok(EndpointUpdate::Unchanged);
         }
         let difference = (reply.differences.as_mut()).and_then(|d| d.endpoints.take());
@@ -82,7 +83,7 @@
             (None, None) => return Ok(EndpointUpdate::Unchanged),
         };
         self.digest = reply.list_digest;
-        self.read_at = read_at;
+        self.read_at = Some(read_at);
         Ok(update)
     }
 
--- a/crates/fleet/tests/differences.rs
+++ b/crates/fleet/tests/differences.rs
@@ -220,6 +220,39 @@
     assert_eq!(copy.digest(), held);
 }
 
+/// Guards against a draining endpoint that is used again after a rejected difference, because the reply to
+/// the next request comes from a replica with an older list.
+#[test]
+fn older_list_after_a_rejected_difference_does_not_undo_changes() {
+    let (mut current, mut late) = (Fleet::new(1), Fleet::new(2));
+    let mut list = endpoints(40);
+    for fleet in [&mut current, &mut late] {
+        fleet.set_endpoint_list(EndpointList::new(list.clone(), ms(1_000)));
+    }
+    list[3].state = EndpointState::Draining;
+    current.set_endpoint_list(EndpointList::new(list.clone(), ms(1_700)));
+    let mut copy = EndpointCopy::default();
+    let mut reply = current.respond(ms(1_800), entry_request(&copy), Vec::new());
+    copy.apply(ms(1_800), &mut reply).unwrap();
+    list[4].state = EndpointState::Draining;
+    current.set_endpoint_list(EndpointList::new(list, ms(2_400)));
+    let mut damaged = current.respond(ms(2_500), entry_request(&copy), Vec::new());
+    let differences = damaged.differences.as_mut().unwrap();
+    differences.endpoints.as_mut().unwrap().changed.clear();
+    assert!(copy.apply(ms(2_500), &mut damaged).is_err());
+
+    let mut reply = late.respond(ms(2_600), entry_request(&copy), Vec::new());
+    assert_eq!(
+        copy.apply(ms(2_600), &mut reply),
+        Ok(EndpointUpdate::Unchanged)
+    );
+    let mut reply = current.respond(ms(2_700), entry_request(&copy), Vec::new());
+    assert!(matches!(
+        copy.apply(ms(2_700), &mut reply),
+        Ok(EndpointUpdate::Whole(_))
+    ));
+}
+
 /// Guards against a list whose age is understated: an unchanged list that another replica confirms must
 /// not make a different one seem newer.
 #[test]
