Do not return restart reports that are older than the retention

Cause: reports expired only when a further one was recorded, so a replica without new reports kept the old ones for as long as it ran. Effect: an entry that started or changed its replica later got them all and checked connections to endpoints whose cold start was long over. Evidence: the case "the oldest are expired" of reports_since_a_position_are_returned_while_they_matter failed before: a report 10 s old was returned. Fix: since() gets the time and leaves out expired reports by the same rule as record().

--- a/crates/control/src/report_exchange.rs
+++ b/crates/control/src/report_exchange.rs
@@ -32,9 +32,10 @@
         {
             self.wait_for_report(position.count, hold).await;
         }
+        let now = self.clock.now();
         let reports = self.published.restart_reports.borrow();
-        let confirmed_age = self.published.confirmed_age(self.clock.now());
-        let unknown = request.follow.map(|follow| reports.since(follow.known));
+        let confirmed_age = self.published.confirmed_age(now);
+        let unknown = request.follow.map(|f| reports.since(now, f.known));
         ReportReply {
             position: reports.position(),
             complete: !self.published.out_of_service.get()
--- a/crates/fleet/src/restart_reports.rs
+++ b/crates/fleet/src/restart_reports.rs
@@ -34,6 +34,12 @@
     at: Duration,
 }
 
+impl Report {
+    fn is_expired(&self, now: Duration) -> bool {
+        now.saturating_sub(self.at) >= RETENTION
+    }
+}
+
 /// Endpoints to which entries lost connections lately, so that they may have restarted.
 ///
 /// An endpoint may restart with its instance identifier. The platform's list shows that seconds later, and
@@ -85,10 +91,10 @@
 
     /// Instances that were reported after `known`, or all recent ones if that is a position in the reports
     /// of another process.
-    pub fn since(&self, known: Option<ReportPosition>) -> Vec<String> {
+    pub fn since(&self, now: Duration, known: Option<ReportPosition>) -> Vec<String> {
         let known = known.filter(|k| k.view == self.position.view);
         let after = known.map_or(0, |k| k.count);
-        let newer = self.recent.iter().filter(|r| r.number > after);
+        let newer = (self.recent.iter()).filter(|r| r.number > after && !r.is_expired(now));
         newer.map(|r| r.instance.clone()).collect()
     }
 
@@ -99,7 +105,7 @@
     }
 
     fn expire(&mut self, now: Duration) {
-        while (self.recent.front()).is_some_and(|r| now.saturating_sub(r.at) >= RETENTION) {
+        while (self.recent.front()).is_some_and(|r| r.is_expired(now)) {
             self.recent.pop_front();
         }
     }
--- /dev/null
+++ b/crates/fleet/tests/restart_reports.rs
@@ -0,0 +1,227 @@
+//! Tests of the reports of lost connections to endpoints.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use mangospindle_fleet::{ReportPosition, RestartReports};
+use std::time::Duration;
+
+const VIEW: u64 = 7;
+
+/// Number of reports that are kept, and the longest instance identifier.
+const MAX_REPORTS: usize = 4096;
+const MAX_INSTANCE_BYTES: usize = 256;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn names(instances: &[&str]) -> Vec<String> {
+    instances.iter().map(|i| i.to_string()).collect()
+}
+
+fn numbered(numbers: std::ops::Range<usize>) -> Vec<String> {
+    numbers.map(|n| format!("i-{n}")).collect()
+}
+
+const fn position(view: u64, count: u64) -> Option<ReportPosition> {
+    Some(ReportPosition { view, count })
+}
+
+/// Guards against reports that replicas and entries pass on again and again, and against a second restart
+/// that is taken for a repetition of the first.
+#[test]
+fn repeated_reports_are_new_after_an_interval() {
+    struct Case {
+        name: &'static str,
+        /// Reports and their times, and those that are new.
+        recorded: &'static [(u64, &'static [&'static str], &'static [&'static str])],
+        count: u64,
+    }
+    let cases = [
+        Case {
+            name: "no report",
+            recorded: &[(1_000, &[], &[])],
+            count: 0,
+        },
+        Case {
+            name: "repeated in one request",
+            recorded: &[(1_000, &["a", "b", "a"], &["a", "b"])],
+            count: 2,
+        },
+        Case {
+            name: "repeated within the interval",
+            recorded: &[(1_000, &["a"], &["a"]), (1_199, &["a", "b"], &["b"])],
+            count: 2,
+        },
+        Case {
+            name: "repeated after the interval",
+            recorded: &[(1_000, &["a"], &["a"]), (1_200, &["a"], &["a"])],
+            count: 2,
+        },
+        Case {
+            name: "a repetition does not extend the interval",
+            recorded: &[
+                (1_000, &["a"], &["a"]),
+                (1_150, &["a"], &[]),
+                (1_200, &["a"], &["a"]),
+            ],
+            count: 2,
+        },
+        Case {
+            name: "the interval runs from the latest report",
+            recorded: &[
+                (1_000, &["a"], &["a"]),
+                (1_300, &["a"], &["a"]),
+                (1_400, &["a"], &[]),
+            ],
+            count: 2,
+        },
+        Case {
+            name: "a clock that was read earlier",
+            recorded: &[(1_000, &["a"], &["a"]), (900, &["a"], &[])],
+            count: 1,
+        },
+    ];
+    for case in cases {
+        let mut reports = RestartReports::new(VIEW);
+        for (at, recorded, expected) in case.recorded {
+            let new = reports.record(ms(*at), names(recorded));
+            assert_eq!(new, names(expected), "{} at {at}", case.name);
+        }
+        let expected = position(VIEW, case.count);
+        assert_eq!(Some(reports.position()), expected, "{}", case.name);
+    }
+}
+
+/// Guards against reports that an entry misses although its replica has them, that it gets twice, and that
+/// make it check endpoints whose cold start is long over.
+#[test]
+fn reports_since_a_position_are_returned_while_they_matter() {
+    struct Case {
+        name: &'static str,
+        now: u64,
+        known: Option<ReportPosition>,
+        expected: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "no position",
+            now: 2_500,
+            known: None,
+            expected: &["a", "b", "a", "c"],
+        },
+        Case {
+            name: "start of this process",
+            now: 2_500,
+            known: position(VIEW, 0),
+            expected: &["a", "b", "a", "c"],
+        },
+        Case {
+            name: "between reports",
+            now: 2_500,
+            known: position(VIEW, 2),
+            expected: &["a", "c"],
+        },
+        Case {
+            name: "all known",
+            now: 2_500,
+            known: position(VIEW, 4),
+            expected: &[],
+        },
+        Case {
+            name: "position beyond the latest report",
+            now: 2_500,
+            known: position(VIEW, 9),
+            expected: &[],
+        },
+        Case {
+            name: "earlier position of another process",
+            now: 2_500,
+            known: position(VIEW + 1, 2),
+            expected: &["a", "b", "a", "c"],
+        },
+        Case {
+            name: "later position of another process",
+            now: 2_500,
+            known: position(VIEW + 1, 9),
+            expected: &["a", "b", "a", "c"],
+        },
+        Case {
+            name: "just before the oldest expire",
+            now: 10_999,
+            known: None,
+            expected: &["a", "b", "a", "c"],
+        },
+        Case {
+            name: "the oldest are expired",
+            now: 11_000,
+            known: None,
+            expected: &["a", "c"],
+        },
+        Case {
+            name: "all are expired",
+            now: 60_000,
+            known: position(VIEW + 1, 9),
+            expected: &[],
+        },
+    ];
+    let mut reports = RestartReports::new(VIEW);
+    for (at, instances) in [(1_000, &["a", "b"][..]), (2_000, &["a", "c"])] {
+        reports.record(ms(at), names(instances));
+    }
+    for case in cases {
+        let since = reports.since(ms(case.now), case.known);
+        assert_eq!(since, names(case.expected), "{}", case.name);
+    }
+    // Recording expires reports too, and does not change the numbers of the others.
+    assert_eq!(reports.record(ms(11_500), names(&["d"])), names(&["d"]));
+    assert_eq!(Some(reports.position()), position(VIEW, 5));
+    let since = reports.since(ms(11_500), position(VIEW, 3));
+    assert_eq!(since, names(&["c", "d"]));
+}
+
+/// Guards against a replica whose memory and replies grow without limit with the reports that it gets, and
+/// against newer reports that give way to older ones.
+#[test]
+fn number_and_length_of_reports_are_limited() {
+    struct Case {
+        name: &'static str,
+        recorded: Vec<String>,
+        new: usize,
+        kept: Vec<String>,
+    }
+    let longest = "i".repeat(MAX_INSTANCE_BYTES);
+    let too_long = "i".repeat(MAX_INSTANCE_BYTES + 1);
+    let cases = [
+        Case {
+            name: "identifiers of the maximum length",
+            recorded: vec![longest.clone(), too_long, "a".to_string()],
+            new: 2,
+            kept: vec![longest, "a".to_string()],
+        },
+        Case {
+            name: "as many as are kept",
+            recorded: numbered(0..MAX_REPORTS),
+            new: MAX_REPORTS,
+            kept: numbered(0..MAX_REPORTS),
+        },
+        Case {
+            name: "more than are kept",
+            recorded: numbered(0..MAX_REPORTS + 3),
+            new: MAX_REPORTS + 3,
+            kept: numbered(3..MAX_REPORTS + 3),
+        },
+    ];
+    for case in cases {
+        let mut reports = RestartReports::new(VIEW);
+        let new = reports.record(ms(1_000), case.recorded);
+        assert_eq!(new.len(), case.new, "{}", case.name);
+        let expected = position(VIEW, case.new as u64);
+        assert_eq!(Some(reports.position()), expected, "{}", case.name);
+        assert!(
+            reports.since(ms(1_000), None) == case.kept,
+            "{}: other reports are kept",
+            case.name
+        );
+    }
+}
