Test which connections are checked before their first request

Guards against requests that reach a cold process without a check, because a report, the lack of reports or an own lost connection is not heeded, and against checks and limits that stay after a warm response. Evidence: nine changes to the dispatcher, one at a time, each made a test fail: lost or refused connections that are no report, no time after a warm response, a report that keeps the warm response, lacking reports that are not heeded, a check whose result is not heeded, a health check or a warm response that does not clear the report, and a warm response that does not clear the suspicion. All were reverted.

--- a/crates/dispatch/tests/choices/main.rs
+++ b/crates/dispatch/tests/choices/main.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod preferences;
 mod region_entries;
+mod restart_reports;
 mod restarts;
 mod stops;
 mod support;
