Add a failing test: late answers lift the suspicion of a restart

Cause: record_warm_response and record_connection_check take any answer for one of the present process. A response that was sent before the process ended, or a check that reached it, may be read after another connection was found closed or a report arrived, for example when an entry resumes after a freeze. It then clears restart_suspected_at and restart_reported.

What callers would see: the entry sends the new process without limit and without a check (rule FAILBACK).

--- a/crates/dispatch/tests/choices/main.rs
+++ b/crates/dispatch/tests/choices/main.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod health_checks;
 mod lifetimes;
+mod late_answers;
 mod notices;
 mod preferences;
 mod region_entries;
