Add a failing test: each report is answered with all recent ones

Cause: entries and replicas send reports with known = None, and the replica answers with all reports that it keeps, up to 4096, which the sender discards.

What callers would see: nothing directly. The replies grow with the square of the reports while many endpoints are down, also between replicas of different regions.

--- /dev/null
+++ b/crates/control/tests/report_replies.rs
@@ -0,0 +1,41 @@
+//! Tests of the replies of a control replica to restart reports.
+//!
+//! The binary `mangospindle-control` must be built first; `cargo test --workspace` builds it.
+
+#![allow(clippy::unwrap_used)] // A panic in a helper fails the test.
+
+#[allow(dead_code)] // Each test crate uses only some of the helpers.
+#[path = "support/commands.rs"]
+mod commands;
+#[allow(dead_code)] // Each test crate uses only some of the helpers.
+#[path = "support/replica_cluster.rs"]
+mod replica_cluster;
+
+use mangospindle_fleet::ReportRequest;
+use replica_cluster::{ReplicaCluster, run_on_actix, wait_for_version};
+
+/// Guards against replies to reports that grow with the number of recent reports, which are sent often
+/// when many endpoints are lost.
+#[test]
+fn replies_to_reports_do_not_repeat_the_recent_ones() {
+    const LOST_ENDPOINTS: usize = 300;
+    const MAX_REPLY_BYTES: usize = 64;
+    run_on_actix(async {
+        let cluster = ReplicaCluster::start(1).await;
+        let client = cluster.client(&[1]);
+        wait_for_version(&client, 1).await;
+        let report = |instances: Vec<String>| {
+            let request = ReportRequest {
+                reports: instances,
+                pass_on: true,
+                ..ReportRequest::default()
+            };
+            request.encode()
+        };
+        let lost = (0..LOST_ENDPOINTS).map(|n| format!("i-{n}")).collect();
+        client.exchange(&report(lost)).await.unwrap();
+        let another = report(vec!["i-another".to_string()]);
+        let reply = client.exchange(&another).await.unwrap();
+        assert!(reply.len() <= MAX_REPLY_BYTES, "{} bytes", reply.len());
+    });
+}
