Add a failing test: a replica without the others calls its reports complete

Cause: ReportReply::complete is the absence of cut_off, which a replica without any peer notices after 2 s (CUT_OFF_AGE). An entry takes the reply as valid for 1 s more, so that it sends without checks for up to 3 s in which it cannot hear of a restart.

What callers would see: entries of a region whose replica was cut off send a restarted endpoint the full load (rule FAILBACK, which holds for entries in touch or not).

--- a/crates/control/tests/report_replies.rs
+++ b/crates/control/tests/report_replies.rs
@@ -11,8 +11,11 @@
 #[path = "support/replica_cluster.rs"]
 mod replica_cluster;
 
-use mangospindle_fleet::ReportRequest;
+use mangospindle_fleet::timing::REPORTS_VALID_TIME;
+use mangospindle_fleet::{ReportReply, ReportRequest};
+use nix::sys::signal::Signal;
 use replica_cluster::{ReplicaCluster, run_on_actix, wait_for_version};
+use tokio::time::sleep;
 
 /// Guards against replies to reports that grow with the number of recent reports, which are sent often
 /// when many endpoints are lost.
@@ -39,3 +42,40 @@
         assert!(reply.len() <= MAX_REPLY_BYTES, "{} bytes", reply.len());
     });
 }
+
+/// Guards against a replica that hears of no report of the others, and tells its entries that there are none.
+#[test]
+fn replicas_without_the_others_do_not_call_their_reports_complete() {
+    struct Case {
+        name: &'static str,
+        is_leader: bool,
+    }
+    let cases = [
+        Case {
+            name: "leader",
+            is_leader: true,
+        },
+        Case {
+            name: "follower",
+            is_leader: false,
+        },
+    ];
+    run_on_actix(async {
+        let cluster = ReplicaCluster::start(3).await;
+        for case in cases {
+            let replica = match case.is_leader {
+                true => cluster.leader().await,
+                false => cluster.follower().await,
+            };
+            let client = cluster.client(&[replica]);
+            wait_for_version(&client, 1).await;
+            let others = || cluster.all().into_iter().filter(|r| *r != replica);
+            others().for_each(|other| cluster.signal(other, Signal::SIGSTOP));
+            sleep(REPORTS_VALID_TIME).await;
+            let reply = client.exchange(&ReportRequest::default().encode()).await;
+            others().for_each(|other| cluster.signal(other, Signal::SIGCONT));
+            let reply = ReportReply::decode(&reply.unwrap()).unwrap();
+            assert!(!reply.complete, "{}", case.name);
+        }
+    });
+}
