--- a/crates/control/tests/restart_reports.rs
+++ b/crates/control/tests/restart_reports.rs
@@ -319,3 +319,52 @@
         }
     });
 }
+
+/// Guards against an entry that takes the silence of a replica for good news although the replica has lost or
+/// missed reports, because it was not running or frozen.
+#[test]
+fn replicas_that_missed_reports_do_not_claim_to_know_all() {
+    struct Case {
+        name: &'static str,
+        stop: fn(&mut ReplicaCluster, u16),
+        resume: fn(&mut ReplicaCluster, u16),
+    }
+    let cases = [
+        Case {
+            name: "restarted",
+            stop: |c, r| c.kill(r),
+            resume: |c, r| c.start_replica(r),
+        },
+        Case {
+            name: "frozen",
+            stop: |c, r| c.signal(r, Signal::SIGSTOP),
+            resume: |c, r| c.signal(r, Signal::SIGCONT),
+        },
+    ];
+    run_on_actix(async {
+        for case in cases {
+            let mut cluster = ReplicaCluster::start(3).await;
+            let clients = clients(&cluster).await;
+            let missed = cluster.follower().await;
+            let (client, _) = clients[usize::from(missed % 3)].clone();
+            (case.stop)(&mut cluster, missed);
+            sleep(Duration::from_millis(500)).await;
+            report(&client, "i-1", true).await;
+            sleep(Duration::from_millis(1_500)).await;
+            (case.resume)(&mut cluster, missed);
+            let reported_for = cluster.now();
+            let client = cluster.client(&[missed]);
+            // A report matters for 10 s.
+            while cluster.now() < reported_for + Duration::from_secs(6) {
+                let request = ReportRequest {
+                    follow: Some(FollowReports::default()),
+                    ..ReportRequest::default()
+                };
+                let reply = send(&client, &request).await;
+                let knows = |r: &ReportReply| !r.complete || r.reports == ["i-1"];
+                assert!(reply.as_ref().is_none_or(knows), "{}: {reply:?}", case.name);
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    });
+}
