Heed what endpoints say in responses to health checks

A request whose time ran out during a check was answered 504 although it was sent nowhere; it is refused as not run now. Test: notices_in_responses_to_health_checks_count.

--- a/crates/dispatch/src/dispatcher/record_notices.rs
+++ b/crates/dispatch/src/dispatcher/record_notices.rs
@@ -32,4 +32,23 @@
         }
         changed
     }
+
+    /// Records what an endpoint said in a response to a health check. Such a response does not repeat the rate
+    /// limit.
+    pub fn record_check_notices(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointKey,
+        notices: EndpointNotices,
+    ) {
+        let Some(e) = self.endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        if notices.leaving {
+            e.record_leaving(now);
+        }
+        if let Some(retry_after) = notices.retry_after {
+            e.back_off(now, retry_after);
+        }
+    }
 }
--- a/crates/dispatch/tests/choices/notices.rs
+++ b/crates/dispatch/tests/choices/notices.rs
@@ -152,3 +152,47 @@
     let warm = started + ms(4_000);
     assert!(send(&mut entry, warm, EndpointNotices::default()));
 }
+
+/// Guards against requests to an endpoint that wants none, because it said so in a response to a health check.
+#[test]
+fn notices_in_responses_to_health_checks_count() {
+    struct Case {
+        name: &'static str,
+        notices: EndpointNotices,
+        /// Times after the response at which a request is sent to the endpoint.
+        used: &'static [(u64, bool)],
+    }
+    let cases = [
+        Case {
+            name: "nothing",
+            notices: EndpointNotices::default(),
+            used: &[(0, true)],
+        },
+        Case {
+            name: "retry time",
+            notices: EndpointNotices {
+                retry_after: Some(ms(2_000)),
+                ..EndpointNotices::default()
+            },
+            used: &[(0, false), (1_999, false), (2_000, true)],
+        },
+        Case {
+            name: "leaving",
+            notices: EndpointNotices {
+                leaving: true,
+                ..EndpointNotices::default()
+            },
+            used: &[(0, false), (10_000, false)],
+        },
+    ];
+    for case in cases {
+        let mut entry = dispatcher(&[record(1, "a")]);
+        let choice = entry.choose(NOW, &request()).unwrap();
+        entry.record_outcome(NOW, choice.ticket, Outcome::Cancelled);
+        entry.record_check_notices(NOW, choice.ticket.endpoint, case.notices);
+        for (after, used) in case.used {
+            let sent = send(&mut entry, NOW + ms(*after), case.notices);
+            assert_eq!(sent, *used, "{} after {after} ms", case.name);
+        }
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -37,7 +37,7 @@
     Rejected,
     /// Nothing was sent to the endpoint.
     Unreachable,
-    /// Nothing was sent to the endpoint: its check found that it is cold, or had no result in time.
+    /// Nothing was sent to the endpoint: its check found that it is cold, had no result, or left no time.
     Unchecked,
     /// The request may have run, but there is no complete response.
     Failed(ExchangeError),
@@ -112,6 +112,10 @@
         "reused" => lease.is_reused(), "others_open" => gateway.pool.has_open(lease.target()));
     let sent_at = gateway.now();
     let remaining = context.deadline.saturating_sub(sent_at);
+    if remaining.is_zero() {
+        guard.finish(Outcome::Cancelled);
+        return AttemptResult::Unchecked;
+    }
     let Ok(request_writer) = encode_request(gateway, context, choice, remaining) else {
         guard.finish(Outcome::Cancelled);
         return AttemptResult::Unreachable;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -271,6 +271,13 @@
         }
     }
 
+    /// Records what an endpoint said in a response to a health check.
+    pub(crate) fn record_check_notices(&self, endpoint: EndpointKey, notices: EndpointNotices) {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.record_check_notices(now, endpoint, notices);
+    }
+
     /// The health checks to send now.
     pub(crate) fn take_health_checks(&self) -> Vec<HealthCheck> {
         let now = self.now();
--- a/crates/gateway/src/health_checks.rs
+++ b/crates/gateway/src/health_checks.rs
@@ -99,6 +99,9 @@
 /// What the response to a health check says.
 fn report(gateway: &Gateway, check: &HealthCheck, head: &ResponseHead) -> HealthReport {
     let metadata = gateway.protocol.response_metadata(head);
+    if !metadata.misdirected {
+        gateway.record_check_notices(check.endpoint, metadata.notices);
+    }
     match gateway.protocol.health_instance(head) {
         _ if metadata.misdirected => HealthReport::Misdirected,
         _ if metadata.not_run => HealthReport::Rejected {
