Check fewer connections where no restart was reported

Each pair of an entry and an endpoint there opens a connection about once, and the share of a cold endpoint allowed one unchecked request in 30 s, so that many connections were checked first and lost to a timeout.

Now an entry sends one unchecked request a second on new connections, however many entries there are, and a tenth of these is followed by a check. A restart that no entry notices needs an endpoint without connections and requests, which is not one that gets many requests from hundreds of entries; the case of few entries stays bounded: restarts::restarted_endpoints_get_no_more_than_the_cold_rate.

--- a/crates/dispatch/src/dispatcher/restart_reports.rs
+++ b/crates/dispatch/src/dispatcher/restart_reports.rs
@@ -4,6 +4,10 @@
 use crate::EndpointKey;
 use std::time::Duration;
 
+/// Interval between requests to an endpoint on new connections that are not checked. An entry that opens them
+/// faster could by itself flood an endpoint which restarted between two requests, so that no entry noticed.
+const UNCHECKED_SEND_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Dispatcher {
     /// Records that another entry takes it that an endpoint may have restarted.
     pub fn record_restart_report(&mut self, now: Duration, instance: &str) {
@@ -37,20 +41,20 @@
         endpoint.is_none_or(|e| e.is_reported())
     }
 
-    /// Whether a request may be sent on a new connection without a check, and counts it. After a restart that
-    /// no entry has noticed, the entries of a region send no more than to a cold endpoint.
+    /// Whether a request may be sent on a new connection without a check, and counts it.
     pub fn allow_unchecked_send(&mut self, now: Duration, endpoint: EndpointKey) -> bool {
         if self.requires_check(now, endpoint) {
             return false;
         }
-        let service = self.endpoints.get(&endpoint).map(|e| e.service.as_str());
-        let interval = service.map_or(Duration::ZERO, |s| self.cold_interval(s));
         let Some(e) = self.endpoints.get_mut(&endpoint) else {
             return false;
         };
-        let allowed = e.unchecked_limiter.allows(now, interval, 0.0);
+        let allowed = e
+            .unchecked_limiter
+            .allows(now, UNCHECKED_SEND_INTERVAL, 0.0);
         if allowed {
-            e.unchecked_limiter.record_send(now, interval);
+            e.unchecked_limiter
+                .record_send(now, UNCHECKED_SEND_INTERVAL);
         }
         allowed
     }
--- a/crates/gateway/src/connection_check.rs
+++ b/crates/gateway/src/connection_check.rs
@@ -19,7 +19,7 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Probability of a check after a request on a connection of unknown state.
-const LATER_CHECK_PROBABILITY: f64 = 0.25;
+const LATER_CHECK_PROBABILITY: f64 = 0.1;
 
 /// Time limit of a check after a request, which waits for a slot of the endpoint.
 const LATER_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
