--- a/crates/emulator/src/simulation/endpoints.rs
+++ b/crates/emulator/src/simulation/endpoints.rs
@@ -4,9 +4,8 @@
 use crate::Change;
 use crate::event::Event;
 use mangospindle_fleet::{EndpointRecord, EndpointState};
-use mangospindle_model::{EndpointService, RequestLimits, RouteTable};
+use mangospindle_model::{EndpointService, RouteTable};
 use rand::Rng;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 impl Simulation<'_> {
@@ -170,8 +169,7 @@
         let routes = Arc::new(RouteTable {
             number: 1,
             services: services.collect(),
-            limits: RequestLimits::default(),
-            routes: BTreeMap::new(),
+            ..RouteTable::default()
         });
         let (now, evacuated) = (self.now, self.evacuated.clone());
         let region = |p: usize| self.scenario.domains[p].region.clone();
--- a/crates/model/src/error_kind.rs
+++ b/crates/model/src/error_kind.rs
@@ -60,6 +60,8 @@
     UpstreamFailed,
     /// A fault of the system itself.
     Internal,
+    /// The workspace has used up its allowance.
+    OverAllowance,
 }
 
 /// One row of the table from kind to answer.
@@ -79,7 +81,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table.
-    pub const ALL: [ErrorKind; 26] = [
+    pub const ALL: [ErrorKind; 27] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyLengthMismatch,
         ErrorKind::Unauthorized,
@@ -106,6 +108,7 @@
         ErrorKind::DeadlineExceeded,
         ErrorKind::UpstreamFailed,
         ErrorKind::Internal,
+        ErrorKind::OverAllowance,
     ];
 
     /// The answer for this kind.
@@ -219,6 +222,13 @@
             ),
             Self::UpstreamFailed => row(502, "upstream-failed", "Endpoint failed", Unknown, false),
             Self::Internal => row(500, "internal", "Internal error", Unknown, false),
+            Self::OverAllowance => row(
+                429,
+                "over-allowance",
+                "Allowance of the workspace used up",
+                No,
+                true,
+            ),
         }
     }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -23,6 +23,7 @@
 mod topology;
 mod topology_error;
 mod weights;
+mod workspace_table;
 
 pub use can_have_run::CanHaveRun;
 pub use client_range::ClientRange;
@@ -40,9 +41,13 @@
 pub use request_class::RequestClass;
 pub use route_table::{
     EndpointService, RequestLimits, Route, RouteError, RouteFault, RouteKey, RouteTable,
-    RouteTableChange, RouteTarget,
+    RouteTableChange, RouteTableError, RouteTarget,
 };
 pub use service::Service;
 pub use topology::Topology;
 pub use topology_error::TopologyError;
 pub use weights::Weights;
+pub use workspace_table::{
+    Allowance, KeyDigest, Workspace, WorkspaceError, WorkspaceFault, WorkspaceTable,
+    WorkspaceTableChange,
+};
--- a/crates/model/src/route_table.rs
+++ b/crates/model/src/route_table.rs
@@ -5,13 +5,16 @@
 mod request_limits;
 mod route;
 mod route_error;
+mod table_error;
 
 pub use change::RouteTableChange;
 pub use endpoint_service::EndpointService;
 pub use request_limits::RequestLimits;
 pub use route::{Route, RouteKey, RouteTarget};
 pub use route_error::{RouteError, RouteFault};
+pub use table_error::RouteTableError;
 
+use crate::WorkspaceTable;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,11 +29,15 @@
     pub limits: RequestLimits,
     /// Routes by host and path prefix.
     pub routes: BTreeMap<RouteKey, Route>,
+    /// Workspaces. They are encoded beside the table, because earlier builds cannot read a table with
+    /// further fields.
+    #[serde(skip)]
+    pub workspaces: WorkspaceTable,
 }
 
 impl RouteTable {
     /// Checks what the code that uses the table relies on.
-    pub fn validate(&self) -> Result<(), RouteError> {
+    pub fn validate(&self) -> Result<(), RouteTableError> {
         for (key, route) in &self.routes {
             route.validate(&self.services).map_err(|fault| RouteError {
                 host: key.host.clone(),
@@ -38,6 +45,7 @@
                 fault,
             })?;
         }
+        self.workspaces.validate()?;
         Ok(())
     }
 
@@ -69,6 +77,7 @@
                 .filter(changed)
                 .map(|(key, route)| (key.clone(), route.clone()))
                 .collect(),
+            workspaces: self.workspaces.change_to(&next.workspaces).map(Box::new),
         }
     }
 
@@ -84,5 +93,8 @@
         self.routes.retain(|key, _| !change.removed.contains(key));
         let updated = change.updated.iter();
         (self.routes).extend(updated.map(|(key, route)| (key.clone(), route.clone())));
+        if let Some(workspaces) = &change.workspaces {
+            self.workspaces.apply(workspaces);
+        }
     }
 }
--- a/crates/model/src/route_table/change.rs
+++ b/crates/model/src/route_table/change.rs
@@ -1,4 +1,5 @@
 use super::{EndpointService, RequestLimits, Route, RouteKey};
+use crate::WorkspaceTableChange;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,4 +16,8 @@
     pub removed: BTreeSet<RouteKey>,
     /// Routes that are new or changed.
     pub updated: BTreeMap<RouteKey, Route>,
+    /// The difference of the workspaces, if they changed. It is encoded beside this change, because
+    /// earlier builds cannot read a change with further fields.
+    #[serde(skip)]
+    pub workspaces: Option<Box<WorkspaceTableChange>>,
 }
