--- a/crates/control/src/admin/wire/audit_wire.rs
+++ b/crates/control/src/admin/wire/audit_wire.rs
@@ -113,7 +113,9 @@
             ("set_region_limit", name)
         }
         ConfigChange::SetEndpointDrain(id, _) => ("set_endpoint_drain", endpoint_name(config, *id)),
-        ConfigChange::UpdateRoutes(c) => ("update_routes", c.number.to_string()),
+        ConfigChange::UpdateRoutes(c) | ConfigChange::UpdateRoutesAndWorkspaces(c, _) => {
+            ("update_routes", c.number.to_string())
+        }
         ConfigChange::SetEvacuation(name, _) => ("set_evacuation", name.clone()),
         ConfigChange::AddEntry(entry) => ("add_entry", entry.name.clone()),
         ConfigChange::AddEndpoint(endpoint) => ("add_endpoint", endpoint.name.clone()),
@@ -135,6 +137,13 @@
             "updated": c.updated.len(),
             "removed": c.removed.len(),
         }),
+        ConfigChange::UpdateRoutesAndWorkspaces(c, workspaces) => json!({
+            "number": c.number,
+            "updated": c.updated.len(),
+            "removed": c.removed.len(),
+            "workspaces_updated": workspaces.updated.keys().collect::<Vec<_>>(),
+            "workspaces_removed": workspaces.removed,
+        }),
         ConfigChange::SetEvacuation(_, on) => json!(on),
         ConfigChange::AddEntry(e) => json!({
             "public_address": e.public_address,
--- a/crates/control/src/operator_handle.rs
+++ b/crates/control/src/operator_handle.rs
@@ -40,10 +40,18 @@
     /// Replaces the route table. Completes once a majority has synced the change.
     ///
     /// Returns an error if the change was rejected, or if its outcome is not known.
-    pub async fn put_routes(&self, table: RouteTable, document: String) -> Result<(), Problem> {
+    pub async fn put_routes(&self, mut table: RouteTable, document: String) -> Result<(), Problem> {
         let subject = format!("routes-{}", table.number);
+        let workspaces = Box::new(std::mem::take(&mut table.workspaces));
         let table = Box::new(table);
-        let kind = CommandKind::PutRoutes { table, document };
+        let kind = match workspaces.is_empty() {
+            true => CommandKind::PutRoutes { table, document },
+            false => CommandKind::PutRoutesAndWorkspaces {
+                table,
+                workspaces,
+                document,
+            },
+        };
         let origin = self.order_origin(None);
         self.propose_change(subject, kind, origin).await
     }
--- a/crates/control/src/order_subject.rs
+++ b/crates/control/src/order_subject.rs
@@ -34,6 +34,7 @@
             | CommandKind::AssignProfile { .. }
             | CommandKind::SetRegionLimit { .. }
             | CommandKind::PutRoutes { .. }
+            | CommandKind::PutRoutesAndWorkspaces { .. }
             | CommandKind::AddEntry { .. }
             | CommandKind::AddEndpoint { .. }
             | CommandKind::EntryJoin { .. }
--- a/crates/model/src/route_table.rs
+++ b/crates/model/src/route_table.rs
@@ -62,7 +62,7 @@
         })
     }
 
-    /// What turns this table into `next`.
+    /// What turns this table into `next`, without its workspaces.
     pub fn change_to(&self, next: &RouteTable) -> RouteTableChange {
         let changed = |(key, route): &(&RouteKey, &Route)| self.routes.get(*key) != Some(*route);
         RouteTableChange {
@@ -77,11 +77,10 @@
                 .filter(changed)
                 .map(|(key, route)| (key.clone(), route.clone()))
                 .collect(),
-            workspaces: self.workspaces.change_to(&next.workspaces).map(Box::new),
         }
     }
 
-    /// Applies a change.
+    /// Applies a change. The workspaces stay as they are.
     pub fn apply(&mut self, change: &RouteTableChange) {
         self.number = change.number;
         if let Some(services) = &change.services {
@@ -93,8 +92,5 @@
         self.routes.retain(|key, _| !change.removed.contains(key));
         let updated = change.updated.iter();
         (self.routes).extend(updated.map(|(key, route)| (key.clone(), route.clone())));
-        if let Some(workspaces) = &change.workspaces {
-            self.workspaces.apply(workspaces);
-        }
     }
 }
--- a/crates/model/src/route_table/change.rs
+++ b/crates/model/src/route_table/change.rs
@@ -1,9 +1,9 @@
 use super::{EndpointService, RequestLimits, Route, RouteKey};
-use crate::WorkspaceTableChange;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The difference between two tables; much smaller than a table when few routes change.
+/// The difference between two tables, without their workspaces; much smaller than a table when few
+/// routes change.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteTableChange {
     /// Number of the table after the change.
@@ -16,8 +16,4 @@
     pub removed: BTreeSet<RouteKey>,
     /// Routes that are new or changed.
     pub updated: BTreeMap<RouteKey, Route>,
-    /// The difference of the workspaces, if they changed. It is encoded beside this change, because
-    /// earlier builds cannot read a change with further fields.
-    #[serde(skip)]
-    pub workspaces: Option<Box<WorkspaceTableChange>>,
 }
--- a/crates/rpc/src/watch.rs
+++ b/crates/rpc/src/watch.rs
@@ -104,7 +104,7 @@
             WatchContent::Changes(changes) => {
                 content.set_changes(&postcard::to_stdvec(changes)?);
             }
-            WatchContent::Config(config) => content.set_config(&postcard::to_stdvec(config)?),
+            WatchContent::Config(config) => content.set_config(&encode_config(config)?),
         }
         let mut confirmed = builder.init_confirmed();
         match self.confirmed_age {
@@ -124,7 +124,7 @@
         let content = match reader.get_content().which()? {
             content::Which::Unchanged(()) => WatchContent::Unchanged,
             content::Which::Changes(data) => WatchContent::Changes(postcard::from_bytes(data?)?),
-            content::Which::Config(data) => WatchContent::Config(postcard::from_bytes(data?)?),
+            content::Which::Config(data) => WatchContent::Config(Box::new(decode_config(data?)?)),
         };
         let confirmed_age = match reader.get_confirmed().which()? {
             confirmed::Which::Never(()) => None,
@@ -140,6 +140,25 @@
     }
 }
 
+/// Encodes a configuration, followed by its workspaces if there are any. Earlier builds ignore what
+/// follows the configuration.
+fn encode_config(config: &Config) -> Result<Vec<u8>, postcard::Error> {
+    let mut bytes = postcard::to_stdvec(config)?;
+    let workspaces = &config.routes.workspaces;
+    if !workspaces.is_empty() {
+        bytes.extend(postcard::to_stdvec(workspaces)?);
+    }
+    Ok(bytes)
+}
+
+fn decode_config(bytes: &[u8]) -> Result<Config, postcard::Error> {
+    let (mut config, rest): (Config, _) = postcard::take_from_bytes(bytes)?;
+    if !rest.is_empty() {
+        config.routes.workspaces = postcard::from_bytes(rest)?;
+    }
+    Ok(config)
+}
+
 fn saturating_millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/state/src/command_kind.rs
+++ b/crates/state/src/command_kind.rs
@@ -1,6 +1,7 @@
 use crate::{Attempt, ClaimKey, RecordedResponse};
 use mangospindle_model::{
     Endpoint, EndpointId, Entry, EntryId, Profile, RegionId, RouteTable, ServiceId, Topology,
+    WorkspaceTable,
 };
 use serde::{Deserialize, Serialize};
 
@@ -53,8 +54,8 @@
         /// Whether to drain the endpoint.
         drain: bool,
     },
-    /// Replaces the route table. Has no effect unless the number of the new table is higher than
-    /// that of the current one.
+    /// Replaces the route table by one without workspaces. Has no effect unless the number of the new
+    /// table is higher than that of the current one.
     PutRoutes {
         /// The table.
         table: Box<RouteTable>,
@@ -147,4 +148,14 @@
     },
     /// Removes claims, request outcomes and released attempts that are older than their retention.
     Expire,
+    /// Replaces the route table and its workspaces, like [`CommandKind::PutRoutes`]. Earlier builds
+    /// cannot read this command.
+    PutRoutesAndWorkspaces {
+        /// The table. Its workspaces are not encoded.
+        table: Box<RouteTable>,
+        /// The workspaces of the table.
+        workspaces: Box<WorkspaceTable>,
+        /// The table as the operator sent it. Operators can read it back.
+        document: String,
+    },
 }
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -72,6 +72,10 @@
                 self.endpoint_drain[endpoint.index()] = *drain;
             }
             ConfigChange::UpdateRoutes(change) => self.routes.apply(change),
+            ConfigChange::UpdateRoutesAndWorkspaces(routes, workspaces) => {
+                self.routes.apply(routes);
+                self.routes.workspaces.apply(workspaces);
+            }
             ConfigChange::SetEvacuation(domain, true) => {
                 self.evacuated.insert(domain.clone());
             }
--- a/crates/state/src/config_change.rs
+++ b/crates/state/src/config_change.rs
@@ -1,6 +1,7 @@
 use crate::{EntryStatus, Ownership, VersionedProfile};
 use mangospindle_model::{
     Endpoint, EndpointId, Entry, EntryId, RegionId, RouteTableChange, ServiceId,
+    WorkspaceTableChange,
 };
 use serde::{Deserialize, Serialize};
 
@@ -29,4 +30,6 @@
     SetEntryStatus(EntryId, EntryStatus),
     /// An endpoint changed its owner.
     SetOwnership(EndpointId, Ownership),
+    /// The route table and its workspaces changed. Earlier builds cannot read this change.
+    UpdateRoutesAndWorkspaces(Box<RouteTableChange>, Box<WorkspaceTableChange>),
 }
--- a/crates/state/src/state/apply.rs
+++ b/crates/state/src/state/apply.rs
@@ -1,7 +1,7 @@
 use super::State;
 use crate::request_outcomes::{RecordedOutcome, request_digest};
 use crate::{Command, CommandKind, Outcome};
-use mangospindle_model::ErrorKind;
+use mangospindle_model::{ErrorKind, WorkspaceTable};
 
 /// Maximum length of a request identifier, in bytes.
 const MAX_REQUEST_ID_BYTES: usize = 128;
@@ -62,7 +62,9 @@
             CommandKind::Expire => self.expire(),
             // Temporary, unlike an invalid change: the sender can retry after the initial
             // configuration is set.
-            CommandKind::PutRoutes { .. } | CommandKind::SetEvacuation { .. }
+            CommandKind::PutRoutes { .. }
+            | CommandKind::PutRoutesAndWorkspaces { .. }
+            | CommandKind::SetEvacuation { .. }
                 if self.config.version == 0 =>
             {
                 refused(ErrorKind::NoQuorum, "there is no configuration yet")
@@ -90,7 +92,14 @@
             CommandKind::SetEndpointDrain { endpoint, drain } => {
                 self.set_endpoint_drain(command, *endpoint, *drain)
             }
-            CommandKind::PutRoutes { table, document } => self.put_routes(command, table, document),
+            CommandKind::PutRoutes { table, document } => {
+                self.put_routes(command, table, &WorkspaceTable::default(), document)
+            }
+            CommandKind::PutRoutesAndWorkspaces {
+                table,
+                workspaces,
+                document,
+            } => self.put_routes(command, table, workspaces, document),
             CommandKind::SetEvacuation {
                 failure_domain,
                 evacuate,
@@ -157,6 +166,7 @@
         | CommandKind::FenceVm { .. } => true,
         CommandKind::Bootstrap { .. }
         | CommandKind::PutRoutes { .. }
+        | CommandKind::PutRoutesAndWorkspaces { .. }
         | CommandKind::SetEvacuation { .. }
         | CommandKind::EntryJoin { .. }
         | CommandKind::EntryLeave { .. }
--- a/crates/state/src/state/config_changes.rs
+++ b/crates/state/src/state/config_changes.rs
@@ -60,6 +60,17 @@
                 let inverse = next.change_to(&config.routes);
                 Some(ConfigChange::UpdateRoutes(Box::new(inverse)))
             }
+            ConfigChange::UpdateRoutesAndWorkspaces(routes, workspaces) => {
+                let mut next = config.routes.clone();
+                next.apply(routes);
+                next.workspaces.apply(workspaces);
+                let routes = Box::new(next.change_to(&config.routes));
+                let workspaces = next.workspaces.change_to(&config.routes.workspaces);
+                Some(match workspaces {
+                    Some(w) => ConfigChange::UpdateRoutesAndWorkspaces(routes, Box::new(w)),
+                    None => ConfigChange::UpdateRoutes(routes),
+                })
+            }
             ConfigChange::SetEvacuation(domain, _) => {
                 let evacuated = config.evacuated.contains(domain);
                 Some(ConfigChange::SetEvacuation(domain.clone(), evacuated))
--- a/crates/state/src/state/routes.rs
+++ b/crates/state/src/state/routes.rs
@@ -2,24 +2,32 @@
 use super::apply::refused;
 use crate::validate::is_valid_name;
 use crate::{Command, ConfigChange, Outcome};
-use mangospindle_model::{ErrorKind, RouteTable};
+use mangospindle_model::{ErrorKind, RouteTable, WorkspaceTable};
 
 impl State {
-    /// Replaces the route table. A resend, or a table whose number is not above the current one, is
+    /// Replaces the route table and its workspaces. A resend, or a table whose number is not above the current one, is
     /// acknowledged without effect.
     pub(super) fn put_routes(
         &mut self,
         command: &Command,
         table: &RouteTable,
+        workspaces: &WorkspaceTable,
         document: &str,
     ) -> Outcome {
         if let Err(e) = table.validate() {
             return refused(ErrorKind::InvalidChange, &e.to_string());
         }
+        if let Err(e) = workspaces.validate() {
+            return refused(ErrorKind::InvalidChange, &e.to_string());
+        }
         if table.number > self.config.routes.number {
-            let change = self.config.routes.change_to(table);
+            let routes = Box::new(self.config.routes.change_to(table));
+            let change = match self.config.routes.workspaces.change_to(workspaces) {
+                None => ConfigChange::UpdateRoutes(routes),
+                Some(change) => ConfigChange::UpdateRoutesAndWorkspaces(routes, Box::new(change)),
+            };
             self.route_document = document.to_string();
-            self.apply_change(command, ConfigChange::UpdateRoutes(Box::new(change)));
+            self.apply_change(command, change);
         }
         self.done()
     }
--- a/crates/state/src/wire.rs
+++ b/crates/state/src/wire.rs
@@ -21,5 +21,9 @@
 pub(crate) use profile_wire::VersionedProfileWire;
 pub(crate) use snapshot_wire::SnapshotWire;
 
-/// Format number of the snapshots that this build writes and reads.
+/// Format number of snapshots of states that never had workspaces.
 pub(crate) const SNAPSHOT_FORMAT: u32 = 2;
+
+/// Format number of snapshots that may contain workspaces: the other format, followed by the
+/// workspaces. Earlier builds cannot read it.
+pub(crate) const WORKSPACE_SNAPSHOT_FORMAT: u32 = 3;
--- a/crates/state/src/wire/change_wire.rs
+++ b/crates/state/src/wire/change_wire.rs
@@ -2,6 +2,7 @@
 use crate::{ConfigChange, EntryStatus, Ownership};
 use mangospindle_model::{
     Endpoint, EndpointId, Entry, EntryId, RegionId, RouteTableChange, ServiceId,
+    WorkspaceTableChange,
 };
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +20,7 @@
     SetOwnership(EndpointId, Ownership),
     UpdateRoutes(Box<RouteTableChange>),
     SetEvacuation(String, bool),
+    UpdateRoutesAndWorkspaces(Box<RouteTableChange>, Box<WorkspaceTableChange>),
 }
 
 impl From<&ConfigChange> for ChangeWire {
@@ -35,6 +37,9 @@
             ConfigChange::SetOwnership(id, owner) => ChangeWire::SetOwnership(*id, *owner),
             ConfigChange::UpdateRoutes(c) => ChangeWire::UpdateRoutes(c.clone()),
             ConfigChange::SetEvacuation(name, on) => ChangeWire::SetEvacuation(name.clone(), *on),
+            ConfigChange::UpdateRoutesAndWorkspaces(routes, workspaces) => {
+                ChangeWire::UpdateRoutesAndWorkspaces(routes.clone(), workspaces.clone())
+            }
         }
     }
 }
@@ -53,6 +58,9 @@
             ChangeWire::SetOwnership(id, owner) => ConfigChange::SetOwnership(id, owner),
             ChangeWire::UpdateRoutes(c) => ConfigChange::UpdateRoutes(c),
             ChangeWire::SetEvacuation(name, on) => ConfigChange::SetEvacuation(name, on),
+            ChangeWire::UpdateRoutesAndWorkspaces(routes, workspaces) => {
+                ConfigChange::UpdateRoutesAndWorkspaces(routes, workspaces)
+            }
         }
     }
 }
--- a/crates/state/src/wire/snapshot_wire.rs
+++ b/crates/state/src/wire/snapshot_wire.rs
@@ -1,4 +1,7 @@
-use super::{AuditRecordWire, ConfigWire, LiveClaimWire, RecordedOutcomeWire, SNAPSHOT_FORMAT};
+use super::{
+    AuditRecordWire, ConfigWire, LiveClaimWire, RecordedOutcomeWire, SNAPSHOT_FORMAT,
+    WORKSPACE_SNAPSHOT_FORMAT,
+};
 use crate::audit_trail::AuditTrail;
 use crate::change_history::ChangeHistory;
 use crate::claim_table::{ClaimTable, DigestGroup};
@@ -7,8 +10,8 @@
 use crate::released_attempts::{ReleasedAttempts, SequenceFloor};
 use crate::request_outcomes::RequestOutcomes;
 use crate::retired_processes::RetiredProcesses;
-use crate::{Attempt, DecodeError, RequestId, State};
-use mangospindle_model::EntryId;
+use crate::{Attempt, AuditChange, ConfigChange, DecodeError, RequestId, State};
+use mangospindle_model::{EntryId, WorkspaceTable};
 use serde::{Deserialize, Serialize};
 
 /// A snapshot of the whole state.
@@ -29,22 +32,34 @@
     digests: Vec<(u64, Vec<KeyDigest>)>,
     released: Vec<(u64, Attempt)>,
     released_floors: Vec<(EntryId, SequenceFloor)>,
+    /// Follows the other fields in snapshots of [`WORKSPACE_SNAPSHOT_FORMAT`].
+    #[serde(skip)]
+    workspaces: Option<WorkspaceTable>,
 }
 
 impl SnapshotWire {
     pub(crate) fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(&(SNAPSHOT_FORMAT, self))
-            // Encoding into memory fails only for sequences of unknown length. There are none here.
-            .expect("the length of every sequence is known")
+        let bytes = match &self.workspaces {
+            None => postcard::to_stdvec(&(SNAPSHOT_FORMAT, self)),
+            Some(w) => postcard::to_stdvec(&(WORKSPACE_SNAPSHOT_FORMAT, self, w)),
+        };
+        // Encoding into memory fails only for sequences of unknown length. There are none here.
+        bytes.expect("the length of every sequence is known")
     }
 
     pub(crate) fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
         let malformed = |e: postcard::Error| DecodeError::Malformed(e.to_string());
         let (format, rest) = postcard::take_from_bytes::<u32>(bytes).map_err(malformed)?;
-        if format != SNAPSHOT_FORMAT {
+        if ![SNAPSHOT_FORMAT, WORKSPACE_SNAPSHOT_FORMAT].contains(&format) {
             return Err(DecodeError::UnknownFormat(format));
         }
-        let (snapshot, rest) = postcard::take_from_bytes(rest).map_err(malformed)?;
+        let (mut snapshot, mut rest): (Self, _) =
+            postcard::take_from_bytes(rest).map_err(malformed)?;
+        if format == WORKSPACE_SNAPSHOT_FORMAT {
+            let (workspaces, after) = postcard::take_from_bytes(rest).map_err(malformed)?;
+            snapshot.workspaces = Some(workspaces);
+            rest = after;
+        }
         match rest.len() {
             0 => Ok(snapshot),
             n => Err(DecodeError::Malformed(format!(
@@ -81,15 +96,30 @@
             released_floors: (state.released.floors().iter())
                 .map(|(entry, floor)| (*entry, *floor))
                 .collect(),
+            workspaces: has_had_workspaces(state).then(|| state.config.routes.workspaces.clone()),
         }
     }
 }
 
+/// Whether the state holds workspaces or a record of a change of them.
+fn has_had_workspaces(state: &State) -> bool {
+    let is_workspace_change = |change: &AuditChange| match change {
+        AuditChange::Bootstrap { .. } => false,
+        AuditChange::Config { before, after } => [before.as_deref(), Some(&**after)]
+            .into_iter()
+            .flatten()
+            .any(|c| matches!(c, ConfigChange::UpdateRoutesAndWorkspaces(..))),
+    };
+    let mut records = state.audit.records.iter();
+    !state.config.routes.workspaces.is_empty() || records.any(|r| is_workspace_change(&r.change))
+}
+
 impl TryFrom<SnapshotWire> for State {
     type Error = DecodeError;
 
     fn try_from(wire: SnapshotWire) -> Result<Self, Self::Error> {
-        let config = crate::Config::try_from(wire.config)?;
+        let mut config = crate::Config::try_from(wire.config)?;
+        config.routes.workspaces = wire.workspaces.unwrap_or_default();
         let inconsistent = |detail: String| Err(DecodeError::Inconsistent(detail));
         if wire.owned_since_ms.len() != config.topology.endpoints.len() {
             return inconsistent(
