--- a/crates/state/tests/state/main.rs
+++ b/crates/state/tests/state/main.rs
@@ -8,3 +8,4 @@
 mod scenarios;
 mod snapshots;
 mod support;
+mod workspaces;
