Let the priority of a workspace go before that of its route

Cause: requests of all workspaces were refused alike while endpoints are full. Change: the time that the expected latency may take shrinks further for requests of workspaces below the highest priority. Requests without a workspace are treated as before.

--- a/crates/dispatch/benches/choose.rs
+++ b/crates/dispatch/benches/choose.rs
@@ -53,6 +53,7 @@
                         affinity: has_object.then_some((n % OBJECTS) << 32),
                         idempotent: true,
                         priority: 0,
+                        workspace_priority: None,
                         time_left: Duration::from_secs(2),
                         stop_limit: None,
                         target_latency: Duration::from_secs(1),
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -28,6 +28,8 @@
     settings: DispatchSettings,
     rng: SmallRng,
     routes: Arc<RouteTable>,
+    /// Highest priority of the workspaces; 0 is the highest possible.
+    top_workspace_priority: u32,
     evacuated: BTreeSet<String>,
     endpoints: BTreeMap<EndpointKey, Endpoint>,
     by_instance: BTreeMap<String, EndpointKey>,
@@ -47,6 +49,7 @@
             settings,
             rng: SmallRng::seed_from_u64(seed),
             routes: Arc::default(),
+            top_workspace_priority: 0,
             evacuated: BTreeSet::new(),
             endpoints: BTreeMap::new(),
             by_instance: BTreeMap::new(),
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -17,6 +17,10 @@
 /// of the highest priority.
 const LOWER_PRIORITY_TIME_FRACTION: f64 = 0.75;
 
+/// Further fraction if the priority of its workspace is below the highest one. It is smaller, because the
+/// priority of the workspace goes before that of the route.
+const LOWER_WORKSPACE_TIME_FRACTION: f64 = 0.5;
+
 /// Cost of an endpoint whose requests all fail, as a multiple of the cost of a healthy one.
 const FAILURE_COST_FACTOR: f64 = 6.0;
 
@@ -96,11 +100,19 @@
     fn max_latency_seconds(&self, request: &Request<'_>) -> f64 {
         let remaining = request.time_left.as_secs_f64();
         let service = self.services.get(request.service);
-        let highest = service.map_or(0, |s| s.top_priority);
-        match request.priority > highest {
-            true => remaining * LOWER_PRIORITY_TIME_FRACTION,
-            false => remaining,
-        }
+        let is_lower_route = request.priority > service.map_or(0, |s| s.top_priority);
+        let is_lower_workspace = request
+            .workspace_priority
+            .is_some_and(|priority| priority > self.top_workspace_priority);
+        let route_fraction = match is_lower_route {
+            true => LOWER_PRIORITY_TIME_FRACTION,
+            false => 1.0,
+        };
+        let workspace_fraction = match is_lower_workspace {
+            true => LOWER_WORKSPACE_TIME_FRACTION,
+            false => 1.0,
+        };
+        remaining * route_fraction * workspace_fraction
     }
 
     /// Highest expected queueing time, in seconds, at which a request is still sent.
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -93,6 +93,8 @@
                 endpoint.mark_cold(now, cold_start + EVACUATION_COLD_MARGIN);
             }
         }
+        let workspaces = routes.workspaces.workspaces.values();
+        self.top_workspace_priority = workspaces.map(|w| w.priority).min().unwrap_or(0);
         self.routes = routes;
         self.evacuated = evacuated;
         self.group_by_service();
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -14,6 +14,9 @@
     pub idempotent: bool,
     /// Priority of the route; 0 is the highest.
     pub priority: u32,
+    /// Priority of the workspace, which goes before that of the route; `None` if the request belongs to no
+    /// workspace.
+    pub workspace_priority: Option<u32>,
     /// Time left until the caller's deadline.
     pub time_left: Duration,
     /// Longest expected latency with which the request is sent during a graceful stop of this
--- a/crates/dispatch/tests/choices/main.rs
+++ b/crates/dispatch/tests/choices/main.rs
@@ -8,6 +8,7 @@
 mod lifetimes;
 mod notices;
 mod preferences;
+mod priorities;
 mod region_entries;
 mod restart_reports;
 mod restarts;
--- a/crates/dispatch/tests/choices/support.rs
+++ b/crates/dispatch/tests/choices/support.rs
@@ -65,6 +65,7 @@
         affinity: None,
         idempotent: true,
         priority: 0,
+        workspace_priority: None,
         time_left: ms(2_000),
         stop_limit: None,
         target_latency: ms(1_000),
--- a/crates/emulator/src/simulation/requests.rs
+++ b/crates/emulator/src/simulation/requests.rs
@@ -49,6 +49,7 @@
             affinity: Some(r.object),
             idempotent: class.idempotent,
             priority: 0,
+            workspace_priority: None,
             time_left: r.deadline.saturating_sub(self.now),
             stop_limit: None,
             target_latency: class.target_latency,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -155,6 +155,7 @@
             affinity: affinity_hash.filter(|_| route.sticky),
             idempotent: context.idempotent,
             priority: route.priority,
+            workspace_priority: None,
             time_left: context.deadline.saturating_sub(gateway.now()),
             stop_limit: gateway.stop_limit(context.deadline),
             target_latency: route.target_latency,
