Identify the workspace of requests and enforce its homes and allowance

Cause: keys were passed on to endpoints, and no request belonged to a workspace. Change: access.rs checks the key of a request before dispatch, removes it, combines the home regions of route and workspace, and charges the allowance; requests that were rejected without having run are refunded. The workspace's header is set after hop-by-hop headers were removed, because a caller can name any header as one. Relayed requests carry the name of the workspace.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to send a request to an endpoint.
 
+use crate::access::Access;
 use crate::connect::ConnectError;
 use crate::connection_check::{NoConnection, check_later, connect_for_request, draw_later_check};
 use crate::connection_target::ConnectionTarget;
@@ -27,6 +28,10 @@
 /// this limit, another endpoint can still serve the request.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
+/// Headers of a caller's request that are not forwarded, besides those of a connection. A caller cannot
+/// name a workspace for a relayed request.
+pub(crate) const DROPPED_HEADERS: &[&str] = &["host", "expect", "x-mangospindle-workspace"];
+
 /// Result of an attempt.
 pub(crate) enum AttemptResult {
     /// The endpoint's response.
@@ -71,6 +76,7 @@
     /// Whether the request may run more than once.
     pub(crate) idempotent: bool,
     pub(crate) origin: Origin,
+    pub(crate) access: &'a Access,
     /// When the response has to be complete, on the local clock.
     pub(crate) deadline: Duration,
     /// Key of the request in [`Gateway::in_progress`].
@@ -162,7 +168,8 @@
     choice: &Choice,
     remaining: Duration,
 ) -> Result<RequestWriter, ExchangeError> {
-    let mut headers = end_to_end_headers(&context.inbound.headers, &["host", "expect"]);
+    let mut headers = end_to_end_headers(&context.inbound.headers, DROPPED_HEADERS);
+    context.access.set_workspace_header(gateway, &mut headers);
     gateway
         .protocol
         .set_request_headers(&mut headers, &choice.instance, remaining);
--- a/crates/gateway/src/control_sync.rs
+++ b/crates/gateway/src/control_sync.rs
@@ -36,6 +36,7 @@
             changed
         });
         if changed {
+            (gateway.workspaces).update(gateway.now(), &config.routes.workspaces);
             let number = config.routes.number;
             gateway.metrics.routes_number.set(number as i64);
             event!(Info, "routes_applied", "number" => number,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Serving a request: routing, attempts and the final response.
 
+use crate::access::{check_access, refund};
 use crate::attempt::{AttemptContext, AttemptResult, attempt};
 use crate::gateway::Gateway;
 use crate::inbound_request::InboundRequest;
@@ -56,7 +57,7 @@
 /// Serves a request that arrived at `arrived_at` on the local clock.
 pub(crate) async fn forward(
     gateway: Rc<Gateway>,
-    inbound: InboundRequest,
+    mut inbound: InboundRequest,
     origin: Origin,
     arrived_at: Duration,
     progress: RequestKey,
@@ -74,17 +75,33 @@
             "host" => inbound.host, "path" => inbound.path(), "routes" => routes.number);
         return Response::error(ErrorKind::NotFound, "no route", None);
     };
+    let id = metadata.id.as_deref().unwrap_or_default();
+    let access = match check_access(&gateway, &mut inbound, id, origin, &routes, (key, route)) {
+        Ok(access) => access,
+        Err(response) => return response,
+    };
     let Some(target) = gateway.next_target(key, route) else {
-        return Response::error(ErrorKind::NoEndpoint, "the route has no target", None);
+        let response = Response::error(ErrorKind::NoEndpoint, "the route has no target", None);
+        refund(&gateway, &access, &response);
+        return response;
     };
     let service = route.targets[target].service.as_str();
-    let context = attempt_context(&inbound, &metadata, route, origin, arrived_at, progress);
+    let context = AttemptContext {
+        inbound: &inbound,
+        id,
+        idempotent: route.idempotent,
+        origin,
+        access: &access,
+        deadline: request_deadline(&metadata, route, arrived_at),
+        progress,
+    };
     gateway.in_progress.update(progress, |p| {
         p.id = context.id.to_string();
         p.route = route.name.clone();
         p.deadline = context.deadline;
     });
     let mut response = serve(&gateway, &context, &metadata, route, service).await;
+    refund(&gateway, &access, &response);
     if origin == Origin::Entry {
         mark_not_sent(&mut response, gateway.paths_lost());
     }
@@ -92,7 +109,6 @@
     let status = response.status.as_u16();
     let metrics = &gateway.metrics;
     metrics.observe_response(route.priority, &status.to_string(), elapsed);
-    let id = metadata.id.as_deref().unwrap_or_default();
     if response.status.is_server_error() {
         event!(Info, "request_failed", "request" => id, "status" => status,
             "route" => route.name, "service" => service, "routes" => routes.number,
@@ -101,25 +117,11 @@
     response
 }
 
-/// The data that all attempts of a request share.
-fn attempt_context<'a>(
-    inbound: &'a InboundRequest,
-    metadata: &'a RequestMetadata,
-    route: &Route,
-    origin: Origin,
-    arrived_at: Duration,
-    progress: RequestKey,
-) -> AttemptContext<'a> {
+/// When the response to a request has to be complete, on the local clock.
+fn request_deadline(metadata: &RequestMetadata, route: &Route, arrived_at: Duration) -> Duration {
     let time_limit = [metadata.deadline, route.timeout].into_iter().flatten();
     let time_limit = time_limit.min().unwrap_or(DEFAULT_TIMEOUT);
-    AttemptContext {
-        inbound,
-        id: metadata.id.as_deref().unwrap_or_default(),
-        idempotent: route.idempotent,
-        origin,
-        deadline: (arrived_at + time_limit).saturating_sub(RESPONSE_MARGIN),
-        progress,
-    }
+    (arrived_at + time_limit).saturating_sub(RESPONSE_MARGIN)
 }
 
 /// Sends a request to endpoints of `service` until one responds or no further attempt is allowed.
@@ -137,7 +139,7 @@
     let mut history = SendHistory::default();
     loop {
         if history.unreachable >= UNREACHABLE_BEFORE_RELAY || gateway.paths_lost() {
-            let relayed = relay_once(gateway, context, &mut history, route, service).await;
+            let relayed = relay_once(gateway, context, &mut history, service).await;
             if let Some(response) = relayed {
                 return response;
             }
@@ -155,18 +157,18 @@
             affinity: affinity_hash.filter(|_| route.sticky),
             idempotent: context.idempotent,
             priority: route.priority,
-            workspace_priority: None,
+            workspace_priority: context.access.priority,
             time_left: context.deadline.saturating_sub(gateway.now()),
             stop_limit: gateway.stop_limit(context.deadline),
             target_latency: route.target_latency,
-            home_regions: &route.home_regions,
+            home_regions: &context.access.home_regions,
             tried: &history.tried,
             repeated: history.sends > 0,
         };
         let choice = match gateway.choose_endpoint(&request) {
             Ok(choice) => choice,
             Err(refusal) if refusal.reason == RefusalReason::NoEndpoint => {
-                let relayed = relay_once(gateway, context, &mut history, route, service).await;
+                let relayed = relay_once(gateway, context, &mut history, service).await;
                 return relayed
                     .unwrap_or_else(|| refusal_response(gateway, context, history, refusal));
             }
@@ -251,7 +253,6 @@
     gateway: &Rc<Gateway>,
     context: &AttemptContext<'_>,
     history: &mut SendHistory,
-    route: &Route,
     service: &str,
 ) -> Option<Response> {
     let stop_limit = gateway.stop_limit(context.deadline);
@@ -261,7 +262,7 @@
     if !may_relay || std::mem::replace(&mut history.relayed, true) {
         return None;
     }
-    relay(gateway, context, route, service).await
+    relay(gateway, context, service).await
 }
 
 /// The response to a request for which the dispatcher offers no endpoint.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,3 +1,4 @@
+use crate::access::Workspaces;
 use crate::attempt::AttemptContext;
 use crate::connection::serve_connection;
 use crate::connection_target::ConnectionTarget;
@@ -75,6 +76,7 @@
     /// Wakes the task that sends health checks, ahead of its interval.
     pub(crate) check_health_now: Notify,
     pub(crate) pending_reports: PendingReports,
+    pub(crate) workspaces: Workspaces,
     registry: Registry,
     ready: Arc<AtomicBool>,
     dispatcher: RefCell<Dispatcher>,
@@ -114,14 +116,16 @@
         let client = client.ok_or_else(|| miette!("no control replica is configured"))?;
         let dispatcher = Dispatcher::new(settings.dispatch.clone(), rand::random());
         let region = settings.dispatch.region().to_string();
+        let incarnation = rand::random();
         let gateway = Rc::new(Gateway {
+            workspaces: Workspaces::new(settings.name.clone(), incarnation),
             peers: RefCell::new(RelayPeers::new(settings.name.clone(), region)),
             settings,
             clock,
             protocol: Box::new(protocol),
             pool: Pool::new(Box::new(|_| {})),
             metrics: Metrics::new(&registry).into_diagnostic()?,
-            incarnation: rand::random(),
+            incarnation,
             in_progress: RequestsInProgress::default(),
             phase: watch::Sender::new(Phase::Serving),
             stop_schedule: Cell::new(None),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //!
 //! [`Dispatcher`]: mangospindle_dispatch::Dispatcher
 
+mod access;
 mod attempt;
 mod connect;
 mod connection;
@@ -42,5 +43,5 @@
 mod writer;
 
 pub use gateway::Gateway;
-pub use protocol::{Protocol, RequestMetadata, ResponseMetadata};
+pub use protocol::{Credentials, Protocol, RequestMetadata, ResponseMetadata};
 pub use settings::GatewaySettings;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -1,6 +1,7 @@
 use actix_web::http::header::HeaderMap;
 use mangospindle_client::ResponseHead;
 use mangospindle_dispatch::{EndpointNotices, LoadReading};
+use std::fmt;
 use std::time::Duration;
 
 /// Metadata from the headers of a caller's request.
@@ -27,11 +28,42 @@
     pub notices: EndpointNotices,
 }
 
+/// Credentials in the headers of a caller's request.
+#[derive(Clone, PartialEq, Eq)]
+pub enum Credentials {
+    /// There are none.
+    None,
+    /// The key of a workspace. Not part of the debug output, so that it cannot reach a log.
+    Key(Vec<u8>),
+    /// They are ambiguous or of another scheme.
+    Unusable,
+}
+
+impl fmt::Debug for Credentials {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Credentials::None => "None",
+            Credentials::Key(_) => "Key",
+            Credentials::Unusable => "Unusable",
+        })
+    }
+}
+
 /// Names and formats of the headers exchanged between callers, entries and endpoints.
 pub trait Protocol: 'static {
     /// Parses the headers of a caller's request.
     fn request_metadata(&self, headers: &HeaderMap) -> RequestMetadata;
 
+    /// Finds the credentials in the headers of a caller's request.
+    fn credentials(&self, headers: &HeaderMap) -> Credentials;
+
+    /// Removes all credentials from the headers of a request.
+    fn remove_credentials(&self, headers: &mut HeaderMap);
+
+    /// Sets the header that tells an endpoint the workspace of a request, whatever the caller sent; removes
+    /// it if the request belongs to none.
+    fn set_workspace(&self, headers: &mut HeaderMap, workspace: Option<&str>);
+
     /// Sets the headers that tell an endpoint which instance is expected and how much time is left.
     fn set_request_headers(&self, headers: &mut HeaderMap, instance: &str, time_left: Duration);
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,8 @@
 //! Only requests that were not sent to any endpoint are relayed, so that the number of attempts of a
 //! route holds over both entries.
 
-use crate::attempt::{AttemptContext, read_body, request_writer};
+use crate::access::RELAYED_WORKSPACE;
+use crate::attempt::{AttemptContext, DROPPED_HEADERS, read_body, request_writer};
 use crate::connect::CONNECT_TIMEOUT;
 use crate::connection_target::ConnectionTarget;
 use crate::gateway::Gateway;
@@ -14,7 +15,7 @@
 use mangospindle_client::{
     Connection, Exchange, ExchangeError, ExpectedId, Lease, ResponseHead, end_to_end_headers,
 };
-use mangospindle_model::{ErrorKind, Route};
+use mangospindle_model::ErrorKind;
 use mangospindle_telemetry::event;
 use std::io;
 use std::net::SocketAddr;
@@ -90,7 +91,6 @@
 pub(crate) async fn relay(
     gateway: &Rc<Gateway>,
     context: &AttemptContext<'_>,
-    route: &Route,
     service: &str,
 ) -> Option<Response> {
     gateway.want_peers();
@@ -103,7 +103,7 @@
     }
     for _ in 0..MAX_PEERS {
         let now = gateway.now();
-        let peer = (gateway.peers.borrow_mut()).select(now, &route.home_regions)?;
+        let peer = (gateway.peers.borrow_mut()).select(now, &context.access.home_regions)?;
         let result = tokio::select! {
             biased;
             result = relay_to(gateway, context, service, peer) => result,
@@ -138,6 +138,13 @@
     Response::error(ErrorKind::UpstreamFailed, "the other entry failed", None)
 }
 
+/// The response to a relayed request that this entry cannot serve, and another one may.
+pub(crate) fn declined_response() -> Response {
+    let mut response = Response::error(ErrorKind::NoEndpoint, "unknown workspace", None);
+    response.headers.insert(NOT_SENT, NO_PATH);
+    response
+}
+
 /// Marks the response to a relayed request if the request was not sent to any endpoint.
 pub(crate) fn mark_not_sent(response: &mut Response, paths_lost: bool) {
     let reason = match response.error_kind {
@@ -157,7 +164,12 @@
     let Ok(lease) = connect(gateway, peer, gateway.time_left(context)).await else {
         return RelayResult::Unreachable;
     };
-    let mut headers = end_to_end_headers(&context.inbound.headers, &["host", "expect"]);
+    let mut headers = end_to_end_headers(&context.inbound.headers, DROPPED_HEADERS);
+    context.access.set_workspace_header(gateway, &mut headers);
+    let workspace = context.access.workspace.as_deref();
+    if let Some(Ok(name)) = workspace.map(HeaderValue::from_str) {
+        headers.insert(RELAYED_WORKSPACE, name);
+    }
     let time_left = gateway.time_left(context);
     gateway.protocol.set_time_left(&mut headers, time_left);
     let Ok(writer) = request_writer(context, headers) else {
--- a/crates/model/src/error_kind.rs
+++ b/crates/model/src/error_kind.rs
@@ -232,6 +232,11 @@
         }
     }
 
+    /// Whether it is certain that a request with this error has not run.
+    pub fn has_not_run(self) -> bool {
+        self.row().can_have_run == CanHaveRun::No
+    }
+
     /// Finds a kind by the stable name in its row.
     pub fn from_name(name: &str) -> Option<ErrorKind> {
         Self::ALL.into_iter().find(|kind| kind.row().name == name)
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -48,6 +48,6 @@
 pub use topology_error::TopologyError;
 pub use weights::Weights;
 pub use workspace_table::{
-    Allowance, KeyDigest, Workspace, WorkspaceError, WorkspaceFault, WorkspaceTable,
+    Allowance, KeyDigest, KeyIndex, Workspace, WorkspaceError, WorkspaceFault, WorkspaceTable,
     WorkspaceTableChange,
 };
--- a/crates/model/src/workspace_table.rs
+++ b/crates/model/src/workspace_table.rs
@@ -3,12 +3,14 @@
 mod allowance;
 mod change;
 mod key_digest;
+mod key_index;
 mod workspace;
 mod workspace_error;
 
 pub use allowance::Allowance;
 pub use change::WorkspaceTableChange;
 pub use key_digest::KeyDigest;
+pub use key_index::KeyIndex;
 pub use workspace::Workspace;
 pub use workspace_error::{WorkspaceError, WorkspaceFault};
 
