Exchange the usage of allowances between entries and replicas

Cause: shares of an allowance can follow demand only if entries learn the demand of the others. Nothing is sent without allowances.

--- a/crates/allowance/src/limiter.rs
+++ b/crates/allowance/src/limiter.rs
@@ -18,6 +18,11 @@
     /// Applies the allowances of a configuration.
     pub fn set_limits(&mut self, _now: Duration, _table: &WorkspaceTable) {}
 
+    /// Whether any workspace has an allowance.
+    pub fn has_limits(&self) -> bool {
+        false
+    }
+
     /// Admits a request of a workspace, or returns after which time it can be admitted.
     ///
     /// # Errors
--- a/crates/allowance/src/usage_table.rs
+++ b/crates/allowance/src/usage_table.rs
@@ -36,6 +36,11 @@
     /// Applies the allowances of a configuration.
     pub fn set_limits(&mut self, _now: Duration, _table: &WorkspaceTable) {}
 
+    /// Whether any workspace has an allowance.
+    pub fn has_limits(&self) -> bool {
+        false
+    }
+
     /// Records the report of an entry and returns the reply. `entries` is the number of live entries.
     pub fn respond(&mut self, _now: Duration, _report: &UsageReport, entries: u32) -> UsageReply {
         UsageReply {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -38,6 +38,7 @@
 mod run;
 mod running_replica;
 mod service;
+mod usage_exchange;
 mod vm_list;
 mod vm_tracker;
 mod wall_clock;
--- a/crates/control/src/published_state.rs
+++ b/crates/control/src/published_state.rs
@@ -1,3 +1,4 @@
+use mangospindle_allowance::UsageTable;
 use mangospindle_consensus::{Member, ReplicaId, Role};
 use mangospindle_fleet::{EndpointList, ExchangeReply, Fleet, PeerKey, RestartReports};
 use mangospindle_model::EntryId;
@@ -38,12 +39,14 @@
     fleet: Arc<Mutex<Fleet>>,
     /// Endpoints to which entries lost connections.
     pub(crate) restart_reports: RefCell<RestartReports>,
+    /// Usage of the workspaces' allowances. Also read by the threads that serve HTTP.
+    usage: Arc<Mutex<UsageTable>>,
     /// Number of restart reports, which wakes held requests.
     pub(crate) report_count: watch::Sender<u64>,
 }
 
 impl PublishedState {
-    pub(crate) fn new(state: State) -> Rc<Self> {
+    pub(crate) fn new(state: State, replica: ReplicaId) -> Rc<Self> {
         let version = state.config().version;
         Rc::new(PublishedState {
             state: RefCell::new(state),
@@ -58,6 +61,10 @@
             members: RefCell::default(),
             fleet: Arc::new(Mutex::new(Fleet::new(rand::random()))),
             restart_reports: RefCell::new(RestartReports::new(rand::random())),
+            usage: Arc::new(Mutex::new(UsageTable::new(
+                replica.0.into(),
+                rand::random(),
+            ))),
             report_count: watch::Sender::new(0),
         })
     }
@@ -73,6 +80,16 @@
         Arc::clone(&self.fleet)
     }
 
+    /// Locks the usage of the workspaces' allowances.
+    pub(crate) fn usage(&self) -> MutexGuard<'_, UsageTable> {
+        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The usage of the workspaces' allowances, for use on another thread.
+    pub(crate) fn shared_usage(&self) -> Arc<Mutex<UsageTable>> {
+        Arc::clone(&self.usage)
+    }
+
     /// Stores an endpoint list that this replica read from the platform.
     pub(crate) fn update_endpoint_list(&self, list: EndpointList) {
         let mut fleet = self.fleet();
--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -14,6 +14,7 @@
 use crate::replica::{Parts, Replica};
 use crate::report_exchange::ReportExchange;
 use crate::service::ReplicaService;
+use crate::usage_exchange::UsageExchange;
 use crate::vm_list::poll_vm_list;
 use crate::wall_clock::SystemWallClock;
 use actix::{Addr, AsyncContext, Context};
@@ -70,7 +71,7 @@
         let registry = Registry::new();
         let peer_counters = TrafficCounters::default();
         let server_counters = TrafficCounters::default();
-        let published = PublishedState::new(state);
+        let published = PublishedState::new(state, options.replica);
         let replicas = options.replicas.clone();
         let local = options.replica;
         let peers = Peers::new(
@@ -101,6 +102,11 @@
             snapshot,
         };
         cx.run(Replica::new(parts));
+        let usage = Rc::new(UsageExchange {
+            peers: Rc::clone(&peers),
+            published: Rc::clone(&published),
+            clock: Arc::clone(&clock),
+        });
         let service = Rc::new(ReplicaService {
             replica: replica.clone(),
             published: Rc::clone(&published),
@@ -110,8 +116,11 @@
                 published: Rc::clone(&published),
                 clock: Arc::clone(&clock),
             }),
+            usage: Rc::clone(&usage),
             clock: Arc::clone(&clock),
         });
+        tokio::task::spawn_local(Rc::clone(&usage).follow_limits());
+        tokio::task::spawn_local(usage.send_usage());
         let server = serve(listener, service, Arc::clone(&clock), server_counters);
         tokio::task::spawn_local(server);
         if let ReplicaSet::Open { .. } = replicas {
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -4,6 +4,7 @@
 use crate::replica::messages::{Deliver, Propose, SubmitQuery};
 use crate::replica::pending_queries::ConfirmedQuery;
 use crate::report_exchange::ReportExchange;
+use crate::usage_exchange::UsageExchange;
 use actix::Addr;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
@@ -26,6 +27,7 @@
     pub(crate) published: Rc<PublishedState>,
     pub(crate) replicas: ReplicaSet,
     pub(crate) reports: Rc<ReportExchange>,
+    pub(crate) usage: Rc<UsageExchange>,
     pub(crate) clock: Arc<dyn Clock>,
 }
 
@@ -85,7 +87,11 @@
                 async move { reports.respond(request).await.encode() }.boxed_local()
             }
             Some(Err(e)) => futures::future::ready(refuse_exchange(&e)).boxed_local(),
-            None => futures::future::ready(self.exchange_views(&request)).boxed_local(),
+            None => {
+                let reply = self.usage.respond(&request);
+                let reply = reply.unwrap_or_else(|| self.exchange_views(&request));
+                futures::future::ready(reply).boxed_local()
+            }
         }
     }
 
--- /dev/null
+++ b/crates/control/src/usage_exchange.rs
@@ -0,0 +1,93 @@
+//! Exchanges the usage of allowances with entries and other replicas.
+
+use crate::peers::Peers;
+use crate::published_state::PublishedState;
+use mangospindle_allowance::{MessageError, PeerUsage, UsageReport};
+use mangospindle_consensus::ReplicaId;
+use mangospindle_fleet::timing::USAGE_INTERVAL;
+use mangospindle_model::Clock;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Sums up the usage that entries report and exchanges the sums with the other replicas.
+pub(crate) struct UsageExchange {
+    pub(crate) peers: Rc<Peers>,
+    pub(crate) published: Rc<PublishedState>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+impl UsageExchange {
+    /// Handles a message of an entry or another replica; `None` if the bytes are another request.
+    pub(crate) fn respond(&self, request: &[u8]) -> Option<Vec<u8>> {
+        let reply = UsageReport::decode(request)
+            .map(|report| report.map(|r| self.respond_to_entry(&r)))
+            .or_else(|| PeerUsage::decode(request).map(|usage| usage.map(|u| self.record(&u))))?;
+        Some(reply.unwrap_or_else(|e| refuse(&e)))
+    }
+
+    fn respond_to_entry(&self, report: &UsageReport) -> Vec<u8> {
+        let now = self.clock.now();
+        let entries = self.published.fleet().live_entries(now);
+        let reply = self.published.usage().respond(now, report, entries);
+        reply.encode()
+    }
+
+    fn record(&self, usage: &PeerUsage) -> Vec<u8> {
+        self.published.usage().record_peer(self.clock.now(), usage);
+        Vec::new()
+    }
+
+    /// Applies the allowances of each new configuration until the future is dropped.
+    pub(crate) async fn follow_limits(self: Rc<Self>) {
+        let mut version = self.published.version.subscribe();
+        let mut known_number = None;
+        loop {
+            let number = self.published.state.borrow().config().routes.number;
+            if known_number != Some(number) {
+                known_number = Some(number);
+                let state = self.published.state.borrow();
+                let workspaces = &state.config().routes.workspaces;
+                (self.published.usage()).set_limits(self.clock.now(), workspaces);
+            }
+            // The sender lives as long as the replica.
+            if version.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Sends the sums of this replica to the others until the future is dropped. A replica that has not
+    /// answered yet is left out, so that it does not delay the others.
+    pub(crate) async fn send_usage(self: Rc<Self>) {
+        let unanswered: Rc<RefCell<BTreeSet<ReplicaId>>> = Rc::default();
+        loop {
+            tokio::time::sleep(USAGE_INTERVAL).await;
+            let message: Rc<[u8]> = match &*self.published.usage() {
+                usage if usage.has_limits() => usage.peer_usage(self.clock.now()).encode().into(),
+                _ => continue,
+            };
+            for member in self.published.members.borrow().iter().copied() {
+                let Some(link) = self.peers.link(member) else {
+                    continue;
+                };
+                if !unanswered.borrow_mut().insert(member) {
+                    continue;
+                }
+                let (message, unanswered) = (Rc::clone(&message), Rc::clone(&unanswered));
+                tokio::task::spawn_local(async move {
+                    // The next message holds the same totals, so that a lost one needs no repetition.
+                    let _ = link.exchange(&message).await;
+                    unanswered.borrow_mut().remove(&member);
+                });
+            }
+        }
+    }
+}
+
+/// The reply to a message that cannot be decoded.
+fn refuse(e: &MessageError) -> Vec<u8> {
+    log::warn!("{e}");
+    Vec::new()
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -105,6 +105,12 @@
         self.whole_list_needed = false;
     }
 
+    /// Number of live entries in the deployment.
+    pub fn live_entries(&self, now: Duration) -> u32 {
+        let live = self.entries.iter().filter(|k| Self::is_live(now, k));
+        live.count() as u32
+    }
+
     fn is_live(now: Duration, known: &KnownEntry) -> bool {
         now.saturating_sub(known.announced_at) < ENTRY_TIMEOUT
     }
--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -12,6 +12,7 @@
 use mangospindle_telemetry::event;
 use std::cell::RefCell;
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// Header of a relayed request with the name of its workspace, in place of the key.
 pub(crate) const RELAYED_WORKSPACE: HeaderName =
@@ -21,6 +22,8 @@
 pub(crate) struct Workspaces {
     keys: RefCell<KeyIndex>,
     pub(crate) allowances: RefCell<AllowanceLimiter>,
+    /// Wakes the task that reports usage, ahead of its interval.
+    pub(crate) report_now: Notify,
 }
 
 impl Workspaces {
@@ -29,6 +32,7 @@
         Workspaces {
             keys: RefCell::default(),
             allowances: RefCell::new(AllowanceLimiter::new(entry, incarnation)),
+            report_now: Notify::new(),
         }
     }
 
@@ -179,9 +183,13 @@
     // The entry that relayed the request has charged it already.
     let charged = origin == Origin::Caller && settings.allowance.is_some();
     if charged {
+        let now = gateway.now();
         let mut allowances = gateway.workspaces.allowances.borrow_mut();
-        (allowances.admit(gateway.now(), name))
-            .map_err(|retry_after| Rejection::OverAllowance { retry_after })?;
+        let admitted = allowances.admit(now, name);
+        if allowances.wants_report(now) {
+            gateway.workspaces.report_now.notify_one();
+        }
+        admitted.map_err(|retry_after| Rejection::OverAllowance { retry_after })?;
     }
     Ok(Access {
         workspace: Some(name.clone()),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,10 @@
 use crate::requests_in_progress::RequestsInProgress;
 use crate::restart_reports::PendingReports;
 use crate::settings::GatewaySettings;
-use crate::{control_sync, drain, health_checks, idle_connections, path_probes, restart_reports};
+use crate::{
+    control_sync, drain, health_checks, idle_connections, path_probes, restart_reports,
+    usage_exchange,
+};
 use mangospindle_client::Pool;
 use mangospindle_dispatch::{
     Choice, Dispatcher, EndpointKey, EndpointNotices, HealthCheck, HealthReport, Outcome,
@@ -160,6 +163,10 @@
             Rc::clone(&gateway),
             client.clone(),
         ));
+        tokio::task::spawn_local(usage_exchange::report_usage(
+            Rc::clone(&gateway),
+            client.clone(),
+        ));
         tokio::task::spawn_local(control_sync::run_exchange(Rc::clone(&gateway), client));
         event!(Info, "gateway_started", "name" => gateway.settings.name,
             "public" => gateway.settings.public_listen, "incarnation" => gateway.incarnation);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod restart_reports;
 mod send_guard;
 mod settings;
+mod usage_exchange;
 mod writer;
 
 pub use gateway::Gateway;
