Decide which requests are within the allowance of a workspace

Cause: an allowance holds over all entries, and no entry may ask another one on the way of a request. Change: an entry admits on a local token bucket whose share follows its part of the demand; a replica follows one token bucket for the deployment from reports and sums of other replicas; its level reduces the refill after an overshoot and lets entries borrow while there is room.

--- a/crates/allowance/src/lib.rs
+++ b/crates/allowance/src/lib.rs
@@ -5,8 +5,11 @@
 //! time go in, decisions and messages come out.
 
 mod limiter;
+mod local_allowance;
 mod message;
+mod offered_rate;
 mod usage_table;
+mod workspace_state;
 
 pub use limiter::AllowanceLimiter;
 pub use message::{
--- /dev/null
+++ b/crates/allowance/src/workspace_state.rs
@@ -0,0 +1,192 @@
+use crate::local_allowance::SHORT_LEVEL_FRACTION;
+use crate::offered_rate::OfferedRate;
+use crate::usage_table::Peer;
+use crate::{EntryUsage, PeerWorkspace};
+use mangospindle_model::Allowance;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time for which the demand at the entries of another replica counts in full after its last message.
+const PEER_RETENTION: Duration = Duration::from_secs(3);
+
+/// Time constant with which it decays afterwards.
+const PEER_DECAY: Duration = Duration::from_secs(3);
+
+/// Offered rate below which a workspace is not in use.
+const MIN_OFFERED_RATE: f64 = 0.001;
+
+/// Usage that one entry reported.
+#[derive(Clone, Copy, Debug)]
+struct KnownEntry {
+    incarnation: u64,
+    admitted: i64,
+    rejected: u64,
+    offered: OfferedRate,
+}
+
+/// Usage that another replica told.
+#[derive(Clone, Copy, Debug)]
+struct KnownPeer {
+    admitted: i64,
+    offered_rate: f64,
+    told_at: Duration,
+}
+
+/// Usage of one workspace in the whole deployment, as far as a replica knows.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkspaceState {
+    limit: Allowance,
+    /// Requests that can be admitted at once by all entries together; negative if too many were.
+    level: f64,
+    level_at: Duration,
+    /// Requests that entries reported to this replica as admitted.
+    admitted: i64,
+    rejected: u64,
+    entries: BTreeMap<String, KnownEntry>,
+    peers: BTreeMap<u64, KnownPeer>,
+}
+
+impl WorkspaceState {
+    pub(crate) fn new(now: Duration, limit: Allowance) -> Self {
+        WorkspaceState {
+            limit,
+            level: limit.burst,
+            level_at: now,
+            admitted: 0,
+            rejected: 0,
+            entries: BTreeMap::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn set_limit(&mut self, now: Duration, limit: Allowance) {
+        self.charge(now, 0);
+        self.limit = limit;
+        self.level = self.level.min(limit.burst);
+    }
+
+    pub(crate) fn limit(&self) -> Allowance {
+        self.limit
+    }
+
+    pub(crate) fn admitted(&self) -> i64 {
+        self.admitted
+    }
+
+    pub(crate) fn rejected(&self) -> u64 {
+        self.rejected
+    }
+
+    /// Records the report of an entry. Counts what this replica does not know yet, or what no replica has
+    /// acknowledged if it does not know the entry.
+    pub(crate) fn record_entry(
+        &mut self,
+        now: Duration,
+        entry: &str,
+        incarnation: u64,
+        usage: &EntryUsage,
+    ) {
+        let known = self.entries.get(entry);
+        let known = known.filter(|k| k.incarnation == incarnation);
+        // Rejections are never taken back, so that a report with fewer of them was delayed.
+        if known.is_some_and(|k| usage.rejected < k.rejected) {
+            return;
+        }
+        let counted = known.map_or(usage.acknowledged, |k| k.admitted);
+        let counted_rejected = known.map_or(usage.rejected, |k| k.rejected);
+        let admitted = usage.admitted.saturating_sub(counted);
+        self.admitted = self.admitted.saturating_add(admitted);
+        let rejected = usage.rejected.saturating_sub(counted_rejected);
+        self.rejected = self.rejected.saturating_add(rejected);
+        self.charge(now, admitted);
+        let known = KnownEntry {
+            incarnation,
+            admitted: usage.admitted,
+            rejected: usage.rejected,
+            offered: OfferedRate::new(valid_rate(usage.offered_rate), now),
+        };
+        self.entries.insert(entry.to_string(), known);
+        self.entries
+            .retain(|_, k| k.offered.per_second(now) >= MIN_OFFERED_RATE);
+    }
+
+    /// Records what another replica tells. If the replica was not known before, what its entries admitted so
+    /// far is not charged.
+    pub(crate) fn record_peer(
+        &mut self,
+        now: Duration,
+        replica: u64,
+        is_known: bool,
+        row: &PeerWorkspace,
+    ) {
+        let known = self.peers.get(&replica).filter(|_| is_known);
+        let counted = match (known, is_known) {
+            (Some(known), _) => known.admitted,
+            (None, true) => 0,
+            (None, false) => row.admitted,
+        };
+        self.charge(now, row.admitted.saturating_sub(counted));
+        let known = KnownPeer {
+            admitted: row.admitted,
+            offered_rate: valid_rate(row.offered_rate),
+            told_at: now,
+        };
+        self.peers.insert(replica, known);
+    }
+
+    /// Level of the token bucket at `now`.
+    pub(crate) fn level(&self, now: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.level_at).as_secs_f64();
+        (self.level + elapsed * self.limit.rate).min(self.limit.burst)
+    }
+
+    /// Requests per second at the entries that report to this replica.
+    pub(crate) fn own_offered_rate(&self, now: Duration) -> f64 {
+        let entries = self.entries.values();
+        entries.map(|e| e.offered.per_second(now)).sum()
+    }
+
+    /// Requests per second at all entries.
+    pub(crate) fn offered_rate(&self, now: Duration, peers: &BTreeMap<u64, Peer>) -> f64 {
+        let told = self.peers.iter().filter_map(|(replica, known)| {
+            let peer = peers.get(replica)?;
+            // A message without the workspace says that it is not in use there any more.
+            (known.told_at >= peer.heard_at)
+                .then(|| known.offered_rate * peer_weight(now, peer.heard_at))
+        });
+        self.own_offered_rate(now) + told.sum::<f64>()
+    }
+
+    /// Whether entries should be told the totals even if they have no requests of the workspace.
+    pub(crate) fn is_short(&self, now: Duration, peers: &BTreeMap<u64, Peer>) -> bool {
+        self.level(now) < SHORT_LEVEL_FRACTION * self.limit.burst
+            || self.offered_rate(now, peers) > self.limit.rate
+    }
+
+    /// Whether other replicas should be told of the workspace.
+    pub(crate) fn is_in_use(&self, now: Duration) -> bool {
+        self.own_offered_rate(now) >= MIN_OFFERED_RATE
+    }
+
+    fn charge(&mut self, now: Duration, admitted: i64) {
+        self.level = self.level(now) - admitted as f64;
+        self.level_at = self.level_at.max(now);
+        // A debt of more than a second would block the workspace for long after an overshoot.
+        self.level = self.level.max(-self.limit.rate - self.limit.burst);
+    }
+}
+
+/// Weight of the demand that another replica told, by the time since its last message.
+fn peer_weight(now: Duration, heard_at: Duration) -> f64 {
+    let age = now.saturating_sub(heard_at);
+    let overdue = age.saturating_sub(PEER_RETENTION).as_secs_f64();
+    (-overdue / PEER_DECAY.as_secs_f64()).exp()
+}
+
+/// A rate of a message; zero if it is not a number that can be one.
+fn valid_rate(rate: f32) -> f64 {
+    match rate.is_finite() && rate > 0.0 {
+        true => f64::from(rate),
+        false => 0.0,
+    }
+}
--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -186,7 +186,7 @@
         let now = gateway.now();
         let mut allowances = gateway.workspaces.allowances.borrow_mut();
         let admitted = allowances.admit(now, name);
-        if allowances.wants_report(now) {
+        if allowances.wants_report() {
             gateway.workspaces.report_now.notify_one();
         }
         admitted.map_err(|retry_after| Rejection::OverAllowance { retry_after })?;
