Let the priority of a workspace limit the wait alone

Change: the fraction applies to the queueing time that a request may expect. Dispatch tests of choices passed (44).

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -17,9 +17,9 @@
 /// of the highest priority.
 const LOWER_PRIORITY_TIME_FRACTION: f64 = 0.75;
 
-/// Further fraction if the priority of its workspace is below the highest one. It is smaller, because the
-/// priority of the workspace goes before that of the route.
-const LOWER_WORKSPACE_TIME_FRACTION: f64 = 0.5;
+/// Fraction of the queueing time that a request may expect if the priority of its workspace is below the highest
+/// one. It limits the wait alone: a request that finds a free slot takes nothing from the others.
+const LOWER_WORKSPACE_WAIT_FRACTION: f64 = 0.5;
 
 /// Cost of an endpoint whose requests all fail, as a multiple of the cost of a healthy one.
 const FAILURE_COST_FACTOR: f64 = 6.0;
@@ -100,19 +100,11 @@
     fn max_latency_seconds(&self, request: &Request<'_>) -> f64 {
         let remaining = request.time_left.as_secs_f64();
         let service = self.services.get(request.service);
-        let is_lower_route = request.priority > service.map_or(0, |s| s.top_priority);
-        let is_lower_workspace = request
-            .workspace_priority
-            .is_some_and(|priority| priority > self.top_workspace_priority);
-        let route_fraction = match is_lower_route {
-            true => LOWER_PRIORITY_TIME_FRACTION,
-            false => 1.0,
-        };
-        let workspace_fraction = match is_lower_workspace {
-            true => LOWER_WORKSPACE_TIME_FRACTION,
-            false => 1.0,
-        };
-        remaining * route_fraction * workspace_fraction
+        let highest = service.map_or(0, |s| s.top_priority);
+        match request.priority > highest {
+            true => remaining * LOWER_PRIORITY_TIME_FRACTION,
+            false => remaining,
+        }
     }
 
     /// Highest expected queueing time, in seconds, at which a request is still sent.
@@ -122,7 +114,7 @@
     /// target latency.
     fn max_wait_seconds(&self, request: &Request<'_>) -> f64 {
         let service = self.services.get(request.service);
-        match service {
+        let limit = match service {
             Some(service) if !request.target_latency.is_zero() => {
                 let target = request.target_latency.as_secs_f64();
                 let service_time_seconds = service
@@ -132,6 +124,13 @@
                     .max(MIN_WAIT_FRACTION * service.service_time.mean_seconds())
             }
             _ => f64::INFINITY,
+        };
+        let lower_workspace = request
+            .workspace_priority
+            .is_some_and(|priority| priority > self.top_workspace_priority);
+        match lower_workspace {
+            true => limit.min(request.time_left.as_secs_f64()) * LOWER_WORKSPACE_WAIT_FRACTION,
+            false => limit,
         }
     }
 
