Log the workspace of requests beyond an allowance

Cause: an operator could not tell from the log which workspace was limited. Change: a field of request_over_allowance.

--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -63,14 +63,17 @@
 }
 
 /// Why a request is rejected before it is dispatched. Such a request has not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Rejection {
     /// There is no key, or it belongs to no workspace.
     Unauthorized(&'static str),
     /// No region is a home of both the route and the workspace.
     NoHome,
     /// The workspace has used up its allowance.
-    OverAllowance { retry_after: Duration },
+    OverAllowance {
+        workspace: String,
+        retry_after: Duration,
+    },
     /// Another entry relayed the request for a workspace that is not known here.
     UnknownWorkspace,
 }
@@ -189,7 +192,10 @@
         if allowances.wants_report() {
             gateway.workspaces.report_now.notify_one();
         }
-        admitted.map_err(|retry_after| Rejection::OverAllowance { retry_after })?;
+        admitted.map_err(|retry_after| Rejection::OverAllowance {
+            workspace: name.clone(),
+            retry_after,
+        })?;
     }
     Ok(Access {
         workspace: Some(name.clone()),
@@ -230,9 +236,13 @@
             event!(Info, "request_without_home", "request" => id, "route" => route.name);
             Response::error(ErrorKind::NoEndpoint, "no common home region", None)
         }
-        Rejection::OverAllowance { retry_after } => {
+        Rejection::OverAllowance {
+            workspace,
+            retry_after,
+        } => {
             count("over_allowance");
             event!(Info, "request_over_allowance", "request" => id, "route" => route.name,
+                "workspace" => workspace,
                 "retry_after_ms" => retry_after.as_millis());
             let detail = "the workspace has used up its allowance";
             Response::error(ErrorKind::OverAllowance, detail, Some(retry_after))
