--- a/crates/allowance/src/lib.rs
+++ b/crates/allowance/src/lib.rs
@@ -4,6 +4,7 @@
 //! sum up what the entries report and tell them the total. No input, output or clock: events and a
 //! time go in, decisions and messages come out.
 
+mod deployment_limit;
 mod limiter;
 mod local_allowance;
 mod message;
--- a/crates/allowance/src/limiter.rs
+++ b/crates/allowance/src/limiter.rs
@@ -65,7 +65,7 @@
             return Ok(());
         };
         let result = local.admit(now, self.entries);
-        self.wants_report |= local.share_may_be_outdated(result.is_err());
+        self.wants_report |= local.share_may_be_outdated();
         result
     }
 
--- a/crates/allowance/src/local_allowance.rs
+++ b/crates/allowance/src/local_allowance.rs
@@ -1,3 +1,4 @@
+use crate::deployment_limit::is_short;
 use crate::offered_rate::OfferedRate;
 use crate::{EntryUsage, WorkspaceTotal};
 use mangospindle_model::Allowance;
@@ -15,8 +16,12 @@
 /// demand of an entry that they do not hear of.
 const SHARE_LIFETIME: Duration = Duration::from_secs(10);
 
-/// Level, as a fraction of the burst, below which a workspace is short.
-pub(crate) const SHORT_LEVEL_FRACTION: f64 = 0.5;
+/// Requests that an entry may admit without a token between two replies, at least: callers pipeline requests.
+const MIN_BORROWABLE: f64 = 4.0;
+
+/// Fraction of the level that an entry may borrow between two replies. Few entries see a rise of demand at
+/// the same time, and the next reply reduces the share if more do.
+const BORROWABLE_FRACTION: f64 = 0.2;
 
 /// Time for which a reduced refill is in force after the reply that reduced it.
 const REDUCTION_LIFETIME: Duration = Duration::from_secs(1);
@@ -44,6 +49,8 @@
     refill_factor: f64,
     /// Requests that may still be admitted without a token until the next reply.
     borrowable: f64,
+    /// Whether a request was admitted without a token since the last reply.
+    has_borrowed: bool,
     /// Rejected requests that were told to return and whose turn has not come yet.
     backlog: f64,
     /// When the last reply with a level was applied.
@@ -65,7 +72,8 @@
             tokens: 0.0,
             updated_at: now,
             refill_factor: 1.0,
-            borrowable: 0.0,
+            borrowable: MIN_BORROWABLE,
+            has_borrowed: false,
             backlog: 0.0,
             replied_at: None,
             has_room: false,
@@ -95,7 +103,10 @@
         self.offered.record(now);
         match self {
             LocalAllowance { tokens, .. } if *tokens >= 1.0 => *tokens -= 1.0,
-            LocalAllowance { borrowable, .. } if *borrowable >= 1.0 => *borrowable -= 1.0,
+            LocalAllowance { borrowable, .. } if *borrowable >= 1.0 => {
+                *borrowable -= 1.0;
+                self.has_borrowed = true;
+            }
             _ => {
                 self.rejected += 1;
                 return Err(self.retry_after());
@@ -112,10 +123,10 @@
         self.tokens = (self.tokens + 1.0).min(self.capacity());
     }
 
-    /// Whether a reply could change the decisions: there was none yet, or a request was rejected while the
+    /// Whether a reply could change the decisions: there was none yet, or the share was too small while the
     /// deployment as a whole had room.
-    pub(crate) fn share_may_be_outdated(&self, is_rejected: bool) -> bool {
-        self.replied_at.is_none() || (is_rejected && self.has_room)
+    pub(crate) fn share_may_be_outdated(&self) -> bool {
+        self.replied_at.is_none() || (self.has_room && (self.has_borrowed || self.backlog > 0.0))
     }
 
     /// Whether there are requests that no replica has acknowledged.
@@ -150,7 +161,6 @@
         entries: u32,
     ) {
         let Some(level) = total.level.map(f64::from) else {
-            self.borrowable = 0.0;
             return;
         };
         self.advance(now, Some(entries));
@@ -163,9 +173,10 @@
         };
         self.replied_at = Some(now);
         self.refill_factor = (1.0 + level.min(0.0) / self.limit.rate).max(0.0);
-        self.has_room = level >= SHORT_LEVEL_FRACTION * self.limit.burst;
+        self.has_room = !is_short(self.limit, level, total_rate);
+        self.has_borrowed = false;
         self.borrowable = match self.has_room {
-            true => (self.limit.burst * even_part * SHORT_LEVEL_FRACTION).max(1.0),
+            true => (level * BORROWABLE_FRACTION).max(MIN_BORROWABLE),
             false => 0.0,
         };
         let usable = match self.has_room {
--- a/crates/allowance/src/workspace_state.rs
+++ b/crates/allowance/src/workspace_state.rs
@@ -1,4 +1,4 @@
-use crate::local_allowance::SHORT_LEVEL_FRACTION;
+use crate::deployment_limit::{capacity, is_short};
 use crate::offered_rate::OfferedRate;
 use crate::usage_table::Peer;
 use crate::{EntryUsage, PeerWorkspace};
@@ -50,7 +50,7 @@
     pub(crate) fn new(now: Duration, limit: Allowance) -> Self {
         WorkspaceState {
             limit,
-            level: limit.burst,
+            level: capacity(limit),
             level_at: now,
             admitted: 0,
             rejected: 0,
@@ -62,7 +62,7 @@
     pub(crate) fn set_limit(&mut self, now: Duration, limit: Allowance) {
         self.charge(now, 0);
         self.limit = limit;
-        self.level = self.level.min(limit.burst);
+        self.level = self.level.min(capacity(limit));
     }
 
     pub(crate) fn limit(&self) -> Allowance {
@@ -137,7 +137,7 @@
     /// Level of the token bucket at `now`.
     pub(crate) fn level(&self, now: Duration) -> f64 {
         let elapsed = now.saturating_sub(self.level_at).as_secs_f64();
-        (self.level + elapsed * self.limit.rate).min(self.limit.burst)
+        (self.level + elapsed * self.limit.rate).min(capacity(self.limit))
     }
 
     /// Requests per second at the entries that report to this replica.
@@ -159,8 +159,7 @@
 
     /// Whether entries should be told the totals even if they have no requests of the workspace.
     pub(crate) fn is_short(&self, now: Duration, peers: &BTreeMap<u64, Peer>) -> bool {
-        self.level(now) < SHORT_LEVEL_FRACTION * self.limit.burst
-            || self.offered_rate(now, peers) > self.limit.rate
+        is_short(self.limit, self.level(now), self.offered_rate(now, peers))
     }
 
     /// Whether other replicas should be told of the workspace.
--- a/crates/control/src/usage_exchange.rs
+++ b/crates/control/src/usage_exchange.rs
@@ -4,7 +4,7 @@
 use crate::published_state::PublishedState;
 use mangospindle_allowance::{MessageError, PeerUsage, UsageReport};
 use mangospindle_consensus::ReplicaId;
-use mangospindle_fleet::timing::USAGE_INTERVAL;
+use mangospindle_fleet::timing::PEER_USAGE_INTERVAL;
 use mangospindle_model::Clock;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -63,7 +63,7 @@
     pub(crate) async fn send_usage(self: Rc<Self>) {
         let unanswered: Rc<RefCell<BTreeSet<ReplicaId>>> = Rc::default();
         loop {
-            tokio::time::sleep(USAGE_INTERVAL).await;
+            tokio::time::sleep(PEER_USAGE_INTERVAL).await;
             let message: Rc<[u8]> = match &*self.published.usage() {
                 usage if usage.has_limits() => usage.peer_usage(self.clock.now()).encode().into(),
                 _ => continue,
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -6,10 +6,13 @@
 /// Interval at which an entry announces itself to a replica and asks for the list of endpoints.
 pub const ENTRY_EXCHANGE_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Interval at which an entry reports its usage of allowances, and at which replicas exchange their sums. A
-/// share of an allowance moves to another entry within three of them.
+/// Interval at which an entry reports its usage of allowances.
 pub const USAGE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Interval at which replicas exchange their sums of the usage. With that of the entries it decides how soon a
+/// rise of demand reduces the shares everywhere.
+pub const PEER_USAGE_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Interval at which an entry without usage to report asks for the totals.
 pub const IDLE_USAGE_INTERVAL: Duration = Duration::from_millis(1500);
 
--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -232,7 +232,7 @@
         }
         Rejection::OverAllowance { retry_after } => {
             count("over_allowance");
-            event!(Debug, "request_over_allowance", "request" => id, "route" => route.name,
+            event!(Info, "request_over_allowance", "request" => id, "route" => route.name,
                 "retry_after_ms" => retry_after.as_millis());
             let detail = "the workspace has used up its allowance";
             Response::error(ErrorKind::OverAllowance, detail, Some(retry_after))
