Emulate entries and replicas that enforce allowances

Cause: the limiter and the usage table had no tests beyond single calls, and the designs could not be compared. Change: an emulation in discrete time of entries, replicas, message delays and failures, which drives the limiter and the table of the product and, for comparison, two other designs.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -7,6 +7,7 @@
 //! and seed always give the same report. Network faults are not emulated; tests with real processes
 //! cover them.
 
+mod allowance;
 mod endpoint;
 mod entry;
 mod event;
@@ -16,6 +17,10 @@
 mod scenario;
 mod simulation;
 
+pub use allowance::{
+    AllowanceChange, AllowanceDesign, AllowanceReport, AllowanceScenario, Rejection, WorkspaceLoad,
+    WorkspaceReport, run_allowances,
+};
 pub use plot::plot_svg;
 pub use policy::Policy;
 pub use report::{ClassReport, RegionReport, Report};
