Admit small workspaces evenly, and recover from lost contact

A workspace of 2 requests/s at nine times its demand ran 0 of 16 requests in 5 s: entries never collected a token, because each reply clipped them to level x share. After replicas were partitioned or unreachable, workspaces within their allowance were rejected for more than 15 s: all usage of that time was charged at once. A workspace that was short once stayed so at entries without requests for it, and without a reply for 10 s borrowing ended. An infinite level in a reply lifted the limit. Change: an entry may collect one token while the level is positive, and borrow one while the level covers the requests of the next 350 ms. Usage is charged for 1 s (entries) or 2 s (replicas) at most. A workspace that a complete reply omits is not short. Levels are checked and bounded by the capacity.

--- a/crates/allowance/src/limiter.rs
+++ b/crates/allowance/src/limiter.rs
@@ -1,4 +1,5 @@
 use crate::local_allowance::LocalAllowance;
+use crate::usage_table::MAX_SHORT_IN_REPLY;
 use crate::{EntryUsage, UsageReply, UsageReport};
 use mangospindle_model::WorkspaceTable;
 use std::collections::BTreeMap;
@@ -16,6 +17,8 @@
     entries: Option<u32>,
     /// State of each workspace with an allowance, by name.
     workspaces: BTreeMap<String, LocalAllowance>,
+    /// Time of the last reply that contained all short workspaces.
+    listed_at: Option<Duration>,
     /// Whether a request was decided on a share that may be out of date.
     wants_report: bool,
 }
@@ -28,6 +31,7 @@
             incarnation,
             entries: None,
             workspaces: BTreeMap::new(),
+            listed_at: None,
             wants_report: false,
         }
     }
@@ -64,6 +68,9 @@
         let Some(local) = self.workspaces.get_mut(workspace) else {
             return Ok(());
         };
+        if let Some(listed_at) = self.listed_at {
+            local.apply_omission(listed_at);
+        }
         let result = local.admit(now, self.entries);
         self.wants_report |= local.share_may_be_outdated();
         result
@@ -106,6 +113,10 @@
                 local.acknowledge(usage);
             }
         }
+        let has_levels = reply.workspaces.iter().all(|total| total.level.is_some());
+        if has_levels && reply.workspaces.len() < MAX_SHORT_IN_REPLY {
+            self.listed_at = Some(now);
+        }
         for total in &reply.workspaces {
             if let Some(local) = self.workspaces.get_mut(&total.workspace) {
                 let reported = reported_rates.get(total.workspace.as_str()).copied();
--- a/crates/allowance/src/local_allowance.rs
+++ b/crates/allowance/src/local_allowance.rs
@@ -1,4 +1,4 @@
-use crate::deployment_limit::is_short;
+use crate::deployment_limit::{capacity, covers_next_requests, is_short};
 use crate::offered_rate::OfferedRate;
 use crate::{EntryUsage, WorkspaceTotal};
 use mangospindle_model::Allowance;
@@ -23,6 +23,10 @@
 /// the same time, and the next reply reduces the share if more do.
 const BORROWABLE_FRACTION: f64 = 0.2;
 
+/// Time after which requests without an acknowledgement are no longer charged. The refill of the time without
+/// replies is lost to the level, so that charging all of them at once would block the workspace.
+const CHARGE_LIFETIME: Duration = Duration::from_secs(1);
+
 /// Time for which a reduced refill is in force after the reply that reduced it.
 const REDUCTION_LIFETIME: Duration = Duration::from_secs(1);
 
@@ -57,9 +61,13 @@
     replied_at: Option<Duration>,
     /// Whether the level was comfortable in the last reply.
     has_room: bool,
+    /// Time of the last reply that says or implies `has_room`.
+    room_at: Option<Duration>,
     offered: OfferedRate,
     admitted: i64,
     acknowledged: i64,
+    /// `admitted` at a time that is between one and two [`CHARGE_LIFETIME`]s old when it is replaced.
+    admitted_before: (Duration, i64),
     rejected: u64,
     acknowledged_rejected: u64,
 }
@@ -77,9 +85,11 @@
             backlog: 0.0,
             replied_at: None,
             has_room: false,
+            room_at: None,
             offered: OfferedRate::default(),
             admitted: 0,
             acknowledged: 0,
+            admitted_before: (now, 0),
             rejected: 0,
             acknowledged_rejected: 0,
         };
@@ -136,10 +146,14 @@
 
     /// What to report; without the name of the workspace.
     pub(crate) fn usage(&self, now: Duration) -> EntryUsage {
+        let acknowledged = match now >= self.updated_at + CHARGE_LIFETIME {
+            true => self.admitted,
+            false => self.acknowledged,
+        };
         EntryUsage {
             workspace: String::new(),
             admitted: self.admitted,
-            acknowledged: self.acknowledged,
+            acknowledged,
             rejected: self.rejected,
             offered_rate: self.offered.per_second(now) as f32,
         }
@@ -160,7 +174,8 @@
         total: &WorkspaceTotal,
         entries: u32,
     ) {
-        let Some(level) = total.level.map(f64::from) else {
+        let level = total.level.filter(|level| level.is_finite());
+        let Some(level) = level.map(|level| f64::from(level).min(capacity(self.limit))) else {
             return;
         };
         self.advance(now, Some(entries));
@@ -172,21 +187,36 @@
             false => even_part,
         };
         self.replied_at = Some(now);
+        self.room_at = Some(now);
         self.refill_factor = (1.0 + level.min(0.0) / self.limit.rate).max(0.0);
         self.has_room = !is_short(self.limit, level, total_rate);
         self.has_borrowed = false;
         self.borrowable = match self.has_room {
             true => (level * BORROWABLE_FRACTION).max(MIN_BORROWABLE),
+            false if covers_next_requests(level, total_rate) => 1.0,
             false => 0.0,
         };
         let usable = match self.has_room {
             true => self.capacity(),
-            // All entries together keep no more tokens than the deployment has left.
-            false => self.capacity().min(level.max(0.0) * self.share),
+            // All entries together keep no more tokens than the deployment has left, but each may collect
+            // one. Otherwise an allowance with a burst below the number of entries would be blocked.
+            false if level > 0.0 => self.capacity().min((level * self.share).max(1.0)),
+            false => 0.0,
         };
         self.tokens = self.tokens.min(usable);
     }
 
+    /// Applies a reply at `listed_at` that would contain the workspace if it was short.
+    pub(crate) fn apply_omission(&mut self, listed_at: Duration) {
+        if self.room_at.is_none_or(|at| at >= listed_at) {
+            return;
+        }
+        self.room_at = Some(listed_at);
+        self.has_room = true;
+        self.refill_factor = 1.0;
+        self.borrowable = MIN_BORROWABLE;
+    }
+
     /// Most tokens that this entry keeps.
     fn capacity(&self) -> f64 {
         (self.limit.burst * self.share).max(1.0)
@@ -204,16 +234,28 @@
         let refill = elapsed * self.refill_rate();
         self.tokens = (self.tokens + refill).min(self.capacity());
         self.backlog = (self.backlog - refill).max(0.0);
+        self.expire_charges();
         if (self.replied_at).is_some_and(|at| now >= at + REDUCTION_LIFETIME) {
             self.refill_factor = 1.0;
         }
-        let is_expired = self.replied_at.is_some_and(|at| now >= at + SHARE_LIFETIME);
-        if let Some(entries) = entries.filter(|_| is_expired) {
+        let is_expired = |at: Option<Duration>| at.is_some_and(|at| now >= at + SHARE_LIFETIME);
+        if let Some(entries) = entries.filter(|_| is_expired(self.replied_at)) {
             self.share = self.share.min(1.0 / f64::from(entries.max(1)));
+        }
+        if is_expired(self.room_at) {
             self.borrowable = 0.0;
         }
     }
 
+    /// Counts requests as acknowledged that were admitted so long ago that they are no longer charged.
+    fn expire_charges(&mut self) {
+        let (at, admitted) = self.admitted_before;
+        if self.updated_at >= at + CHARGE_LIFETIME {
+            self.acknowledged = self.acknowledged.max(admitted);
+            self.admitted_before = (self.updated_at, self.admitted);
+        }
+    }
+
     /// Time until a request that is rejected now can be admitted, behind those that were rejected before it.
     fn retry_after(&mut self) -> Duration {
         let factor = self.refill_factor.max(MIN_EXPECTED_FACTOR);
--- a/crates/allowance/src/usage_table.rs
+++ b/crates/allowance/src/usage_table.rs
@@ -8,7 +8,7 @@
 const LEARNING_TIME: Duration = Duration::from_secs(3);
 
 /// Maximum number of short workspaces in a reply, besides those that were reported.
-const MAX_SHORT_IN_REPLY: usize = 100;
+pub(crate) const MAX_SHORT_IN_REPLY: usize = 100;
 
 /// Interval at which the short workspaces are determined again.
 const SHORT_INTERVAL: Duration = Duration::from_millis(100);
@@ -125,10 +125,11 @@
             heard_at: now,
         };
         let known = self.peers.insert(usage.replica, peer);
-        let is_known = known.is_some_and(|k| k.incarnation == usage.incarnation);
+        let known = known.filter(|k| k.incarnation == usage.incarnation);
+        let heard_at = known.map(|k| k.heard_at);
         for row in &usage.workspaces {
             if let Some(state) = self.workspaces.get_mut(&row.workspace) {
-                state.record_peer(now, usage.replica, is_known, row);
+                state.record_peer(now, usage.replica, heard_at, row);
             }
         }
     }
--- a/crates/allowance/src/workspace_state.rs
+++ b/crates/allowance/src/workspace_state.rs
@@ -12,6 +12,10 @@
 /// Time constant with which it decays afterwards.
 const PEER_DECAY: Duration = Duration::from_secs(3);
 
+/// Longest time between two messages of another replica for which all that its entries admitted is charged.
+/// The refill of a longer time is lost to the level, so that charging all would block the workspace.
+const PEER_CHARGE_LIFETIME: Duration = Duration::from_secs(2);
+
 /// Offered rate below which a workspace is not in use.
 const MIN_OFFERED_RATE: f64 = 0.001;
 
@@ -60,7 +64,7 @@
     }
 
     pub(crate) fn set_limit(&mut self, now: Duration, limit: Allowance) {
-        self.charge(now, 0);
+        self.charge(now, 0.0);
         self.limit = limit;
         self.level = self.level.min(capacity(limit));
     }
@@ -92,13 +96,13 @@
         if known.is_some_and(|k| usage.rejected < k.rejected) {
             return;
         }
-        let counted = known.map_or(usage.acknowledged, |k| k.admitted);
+        let counted = known.map_or(usage.acknowledged, |k| k.admitted.max(usage.acknowledged));
         let counted_rejected = known.map_or(usage.rejected, |k| k.rejected);
         let admitted = usage.admitted.saturating_sub(counted);
         self.admitted = self.admitted.saturating_add(admitted);
         let rejected = usage.rejected.saturating_sub(counted_rejected);
         self.rejected = self.rejected.saturating_add(rejected);
-        self.charge(now, admitted);
+        self.charge(now, admitted as f64);
         let known = KnownEntry {
             incarnation,
             admitted: usage.admitted,
@@ -110,22 +114,25 @@
             .retain(|_, k| k.offered.per_second(now) >= MIN_OFFERED_RATE);
     }
 
-    /// Records what another replica tells. If the replica was not known before, what its entries admitted so
-    /// far is not charged.
+    /// Records what another replica tells. `heard_at` is the time of its previous message. Without one, what
+    /// its entries admitted so far is not charged.
     pub(crate) fn record_peer(
         &mut self,
         now: Duration,
         replica: u64,
-        is_known: bool,
+        heard_at: Option<Duration>,
         row: &PeerWorkspace,
     ) {
-        let known = self.peers.get(&replica).filter(|_| is_known);
-        let counted = match (known, is_known) {
+        let known = self.peers.get(&replica).filter(|_| heard_at.is_some());
+        let counted = match (known, heard_at) {
             (Some(known), _) => known.admitted,
-            (None, true) => 0,
-            (None, false) => row.admitted,
+            (None, Some(_)) => 0,
+            (None, None) => row.admitted,
         };
-        self.charge(now, row.admitted.saturating_sub(counted));
+        let gap = now.saturating_sub(heard_at.unwrap_or(now));
+        let fraction = PEER_CHARGE_LIFETIME.div_duration_f64(gap.max(PEER_CHARGE_LIFETIME));
+        let admitted = row.admitted.saturating_sub(counted) as f64;
+        self.charge(now, admitted * fraction);
         let known = KnownPeer {
             admitted: row.admitted,
             offered_rate: valid_rate(row.offered_rate),
@@ -167,8 +174,8 @@
         self.own_offered_rate(now) >= MIN_OFFERED_RATE
     }
 
-    fn charge(&mut self, now: Duration, admitted: i64) {
-        self.level = self.level(now) - admitted as f64;
+    fn charge(&mut self, now: Duration, admitted: f64) {
+        self.level = self.level(now) - admitted;
         self.level_at = self.level_at.max(now);
         // A debt of more than a second would block the workspace for long after an overshoot.
         self.level = self.level.max(-self.limit.rate - self.limit.burst);
