Reject responses of endpoints with a status that HTTP does not define

Cause: an operator of a similar system saw an endpoint in trouble answer with the status 000, which callers got as an answer. Here 000 and others below 100 were rejected by the codec already; 600 to 999 were passed on. Change: only final status codes (200 to 599) are responses; others count as a failed exchange.

--- a/crates/client/src/response_head.rs
+++ b/crates/client/src/response_head.rs
@@ -1,8 +1,12 @@
 use crate::ExchangeError;
 use actix_web::http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_web::http::{Method, StatusCode, Version};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+/// Status codes of final responses that HTTP defines. The codec also reads others, up to 999.
+const FINAL_STATUS_CODES: RangeInclusive<u16> = 200..=599;
+
 /// Longest idle timeout of a peer that is read; longer ones are taken for it. It is added to the time of
 /// the clock, which must not overflow whatever a peer says.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(24 * 3600);
@@ -43,8 +47,9 @@
     ///
     /// # Errors
     ///
-    /// [`ExchangeError::Malformed`] if the length or the transfer coding is not valid or ambiguous,
-    /// or if the body is close-delimited and `accepts_close_delimited` is not set.
+    /// [`ExchangeError::Malformed`] if the status is not a final one, if the length or the transfer
+    /// coding is not valid or ambiguous, or if the body is close-delimited and
+    /// `accepts_close_delimited` is not set.
     pub fn validate(
         head: &actix_http::ResponseHead,
         method: &Method,
@@ -52,6 +57,9 @@
     ) -> Result<ResponseHead, ExchangeError> {
         let status = head.status;
         let code = status.as_u16();
+        if !FINAL_STATUS_CODES.contains(&code) {
+            return Err(ExchangeError::Malformed);
+        }
         let headers = head.headers().clone();
         let content_length = parse_content_length(&headers)?;
         let chunked = match headers.get_all(TRANSFER_ENCODING).collect::<Vec<_>>()[..] {
