Show workspaces and their usage in the administration API

Cause: operators could not see which workspaces a deployment serves, nor whether their allowances work. Change: GET /v1/workspaces and GET /v1/workspaces/{name} return settings from the replicated configuration, keys as digests, and usage as the answering replica knows it; lists have pages of 10,000. A replica counts the workspaces with an allowance, those that are short, and rejections, without labels. The OpenAPI document also gets the problem type over-allowance, which its test compares with the code.

--- a/crates/allowance/src/lib.rs
+++ b/crates/allowance/src/lib.rs
@@ -8,6 +8,7 @@
 mod local_allowance;
 mod message;
 mod offered_rate;
+mod usage_summary;
 mod usage_table;
 mod workspace_state;
 
@@ -15,4 +16,5 @@
 pub use message::{
     EntryUsage, MessageError, PeerUsage, PeerWorkspace, UsageReply, UsageReport, WorkspaceTotal,
 };
+pub use usage_summary::UsageSummary;
 pub use usage_table::{UsageTable, WorkspaceUsage};
--- a/crates/allowance/src/usage_table.rs
+++ b/crates/allowance/src/usage_table.rs
@@ -1,5 +1,5 @@
 use crate::workspace_state::WorkspaceState;
-use crate::{PeerUsage, PeerWorkspace, UsageReply, UsageReport, WorkspaceTotal};
+use crate::{PeerUsage, PeerWorkspace, UsageReply, UsageReport, UsageSummary, WorkspaceTotal};
 use mangospindle_model::{Allowance, WorkspaceTable};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -45,6 +45,8 @@
     workspaces: BTreeMap<String, WorkspaceState>,
     /// Names of the short workspaces, and when they were determined.
     short: (Duration, Vec<String>),
+    /// Requests that entries rejected, also those of workspaces that were removed since.
+    rejected: u64,
 }
 
 impl UsageTable {
@@ -57,6 +59,7 @@
             peers: BTreeMap::new(),
             workspaces: BTreeMap::new(),
             short: (Duration::ZERO, Vec::new()),
+            rejected: 0,
         }
     }
 
@@ -88,7 +91,10 @@
     pub fn respond(&mut self, now: Duration, report: &UsageReport, entries: u32) -> UsageReply {
         for usage in &report.workspaces {
             if let Some(state) = self.workspaces.get_mut(&usage.workspace) {
+                let counted = state.rejected();
                 state.record_entry(now, &report.entry, report.incarnation, usage);
+                let rejected = state.rejected().saturating_sub(counted);
+                self.rejected = self.rejected.saturating_add(rejected);
             }
         }
         self.update_short(now);
@@ -147,6 +153,17 @@
             .collect()
     }
 
+    /// Sums over all workspaces with an allowance.
+    pub fn summary(&self, now: Duration) -> UsageSummary {
+        let workspaces = self.workspaces.values();
+        let short = workspaces.filter(|w| w.is_short(now, &self.peers));
+        UsageSummary {
+            allowances: self.workspaces.len(),
+            short: short.count(),
+            rejected: self.rejected,
+        }
+    }
+
     /// Whether the totals include what other replicas know. A replica that has just started knows nothing.
     fn knows_totals(&self, now: Duration) -> bool {
         let learned = |started_at| now >= started_at + LEARNING_TIME;
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -19,6 +19,6 @@
 pub use backend::AdminBackend;
 pub use context::AdminContext;
 pub use role::Role;
-pub use routes::{MAX_BODY_BYTES, Operation, ROUTES, RouteInfo, configure};
+pub use routes::{MAX_BODY_BYTES, Operation, ROUTES, RouteInfo, configure, configure_workspaces};
 pub use status_report::{DrainReport, EntryReport, ReplicaReport, ReplicaRole, StatusReport};
 pub use tokens::{TokenError, Tokens};
--- a/crates/control/src/admin/backend.rs
+++ b/crates/control/src/admin/backend.rs
@@ -1,6 +1,7 @@
 use super::StatusReport;
 use crate::OrderOrigin;
 use futures::future::LocalBoxFuture;
+use mangospindle_allowance::WorkspaceUsage;
 use mangospindle_http::Problem;
 use mangospindle_state::{AuditPage, ClaimKey, ClaimOutcome, Command, Config, Outcome};
 use std::sync::Arc;
@@ -41,6 +42,10 @@
     /// the call starts.
     fn claim(&self, key: ClaimKey) -> LocalBoxFuture<'static, Result<ClaimOutcome, Problem>>;
 
+    /// Returns the usage of all workspaces with an allowance as this replica knows it. Does not need a
+    /// majority.
+    fn workspace_usage(&self) -> Vec<WorkspaceUsage>;
+
     /// Returns the metrics in the Prometheus text format.
     fn metrics(&self) -> String;
 }
--- a/crates/control/src/admin/handlers.rs
+++ b/crates/control/src/admin/handlers.rs
@@ -9,6 +9,7 @@
 pub(super) mod regions;
 pub(super) mod services;
 pub(super) mod status;
+pub(super) mod workspaces;
 
 use mangospindle_http::Problem;
 use mangospindle_model::ErrorKind;
--- a/crates/control/src/admin/routes.rs
+++ b/crates/control/src/admin/routes.rs
@@ -1,5 +1,5 @@
 use super::handlers::{
-    actions, audit, endpoints, entries, health, profiles, regions, services, status,
+    actions, audit, endpoints, entries, health, profiles, regions, services, status, workspaces,
 };
 use super::{AdminContext, Role};
 use actix_web::{HttpRequest, Route, web};
@@ -34,6 +34,8 @@
     GetAudit,
     GetStatus,
     GetAction,
+    ListWorkspaces,
+    GetWorkspace,
     GetLive,
     GetReady,
     GetMetrics,
@@ -71,7 +73,7 @@
 const OWNER: Option<Role> = Some(Role::Owner);
 
 /// All routes of the API.
-pub const ROUTES: [RouteInfo; 21] = [
+pub const ROUTES: [RouteInfo; 23] = [
     route_info("GET", "/v1/profiles", VIEWER, Operation::ListProfiles),
     route_info("GET", "/v1/profiles/{name}", VIEWER, Operation::GetProfile),
     route_info(
@@ -125,6 +127,13 @@
         VIEWER,
         Operation::GetAction,
     ),
+    route_info("GET", "/v1/workspaces", VIEWER, Operation::ListWorkspaces),
+    route_info(
+        "GET",
+        "/v1/workspaces/{name}",
+        VIEWER,
+        Operation::GetWorkspace,
+    ),
     route_info("GET", "/livez", None, Operation::GetLive),
     route_info("GET", "/readyz", None, Operation::GetReady),
     route_info("GET", "/metrics", VIEWER, Operation::GetMetrics),
@@ -132,25 +141,40 @@
 
 /// Registers the API with a server: `App::new().configure(admin::configure(cx))`.
 pub fn configure(cx: AdminContext) -> impl FnOnce(&mut web::ServiceConfig) {
+    move |cfg| {
+        configure_routes(cfg, cx, |_| true);
+        cfg.default_service(web::to(route_not_found));
+    }
+}
+
+/// Registers only the operations that read workspaces, with a server that serves other paths too.
+pub fn configure_workspaces(cx: AdminContext) -> impl FnOnce(&mut web::ServiceConfig) {
+    let reads_workspaces = |operation| {
+        matches!(
+            operation,
+            Operation::ListWorkspaces | Operation::GetWorkspace
+        )
+    };
+    move |cfg| configure_routes(cfg, cx, reads_workspaces)
+}
+
+fn configure_routes(
+    cfg: &mut web::ServiceConfig,
+    cx: AdminContext,
+    is_served: impl Fn(Operation) -> bool,
+) {
     let bad_request = |kind: &str, e: &dyn std::fmt::Display| {
         actix_web::Error::from(Problem::new(ErrorKind::BadRequest, format!("{kind}: {e}")))
     };
-    move |cfg| {
-        cfg.app_data(web::Data::new(cx))
-            .app_data(
-                (web::JsonConfig::default().limit(MAX_BODY_BYTES))
-                    .error_handler(move |e, _| bad_request("body", &e)),
-            )
-            .app_data(
-                web::QueryConfig::default().error_handler(move |e, _| bad_request("query", &e)),
-            )
-            .app_data(
-                web::PathConfig::default().error_handler(move |e, _| bad_request("path", &e)),
-            );
-        for info in &ROUTES {
-            cfg.route(info.path, handler(info.operation));
-        }
-        cfg.default_service(web::to(route_not_found));
+    cfg.app_data(web::Data::new(cx))
+        .app_data(
+            (web::JsonConfig::default().limit(MAX_BODY_BYTES))
+                .error_handler(move |e, _| bad_request("body", &e)),
+        )
+        .app_data(web::QueryConfig::default().error_handler(move |e, _| bad_request("query", &e)))
+        .app_data(web::PathConfig::default().error_handler(move |e, _| bad_request("path", &e)));
+    for info in ROUTES.iter().filter(|info| is_served(info.operation)) {
+        cfg.route(info.path, handler(info.operation));
     }
 }
 
@@ -179,6 +203,8 @@
         Operation::GetAudit => web::get().to(audit::page),
         Operation::GetStatus => web::get().to(status::get),
         Operation::GetAction => web::get().to(actions::get),
+        Operation::ListWorkspaces => web::get().to(workspaces::list),
+        Operation::GetWorkspace => web::get().to(workspaces::get),
         Operation::GetLive => web::get().to(health::live),
         Operation::GetReady => web::get().to(health::ready),
         Operation::GetMetrics => web::get().to(health::metrics),
--- a/crates/control/src/admin/wire.rs
+++ b/crates/control/src/admin/wire.rs
@@ -13,6 +13,8 @@
 mod region_wire;
 mod service_wire;
 mod status_wire;
+mod workspace_page_wire;
+mod workspace_wire;
 
 pub use action_wire::ActionWire;
 pub use audit_wire::{AuditPageWire, AuditRecordWire};
@@ -23,6 +25,8 @@
 pub use region_wire::{RegionWire, SetRegionLimitWire};
 pub use service_wire::{AssignProfileWire, ServiceWire};
 pub use status_wire::{DrainReportWire, EntryReportWire, ReplicaReportWire, StatusWire};
+pub use workspace_page_wire::WorkspacePageWire;
+pub use workspace_wire::{AllowanceWire, WorkspaceUsageWire, WorkspaceWire};
 
 use std::time::Duration;
 
--- a/crates/control/src/backend.rs
+++ b/crates/control/src/backend.rs
@@ -5,9 +5,11 @@
 use crate::replica::Replica;
 use crate::replica::messages::{GetAudit, GetStatus, SubmitQuery};
 use crate::replica::pending_queries::ConfirmedQuery;
+use crate::usage_reader::UsageReader;
 use actix::Addr;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use mangospindle_allowance::WorkspaceUsage;
 use mangospindle_http::Problem;
 use mangospindle_model::ErrorKind;
 use mangospindle_rpc::{ProposeResult, QueryResult};
@@ -22,6 +24,7 @@
     pub(crate) replica: Addr<Replica>,
     pub(crate) proposer: Proposer,
     pub(crate) registry: Registry,
+    pub(crate) usage: UsageReader,
 }
 
 fn unconfirmed_state() -> Problem {
@@ -124,6 +127,10 @@
         .boxed_local()
     }
 
+    fn workspace_usage(&self) -> Vec<WorkspaceUsage> {
+        self.usage.status()
+    }
+
     fn metrics(&self) -> String {
         metrics_text(&self.registry).unwrap_or_default()
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -39,6 +39,8 @@
 mod running_replica;
 mod service;
 mod usage_exchange;
+mod usage_metrics;
+mod usage_reader;
 mod vm_list;
 mod vm_tracker;
 mod wall_clock;
--- a/crates/control/src/operator_handle.rs
+++ b/crates/control/src/operator_handle.rs
@@ -1,4 +1,4 @@
-use crate::admin::AdminBackend;
+use crate::admin::{AdminBackend, AdminContext, Tokens};
 use crate::backend::ReplicaBackend;
 use crate::order_origin::OrderOrigin;
 use mangospindle_fleet::{CallerLocation, EntryLookup, Fleet};
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Returns the context of a listener that serves operations of the administration API.
+    pub fn admin_context(&self, tokens: Tokens) -> AdminContext {
+        AdminContext::new(Arc::clone(&self.backend) as Arc<dyn AdminBackend>, tokens)
+    }
+
     /// Replaces the route table. Completes once a majority has synced the change.
     ///
     /// Returns an error if the change was rejected, or if its outcome is not known.
--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -15,6 +15,8 @@
 use crate::report_exchange::ReportExchange;
 use crate::service::ReplicaService;
 use crate::usage_exchange::UsageExchange;
+use crate::usage_metrics::UsageMetrics;
+use crate::usage_reader::UsageReader;
 use crate::vm_list::poll_vm_list;
 use crate::wall_clock::SystemWallClock;
 use actix::{Addr, AsyncContext, Context};
@@ -43,6 +45,7 @@
     replica: Addr<Replica>,
     published: Rc<PublishedState>,
     registry: Registry,
+    usage: UsageReader,
     local: ReplicaId,
 }
 
@@ -72,6 +75,9 @@
         let peer_counters = TrafficCounters::default();
         let server_counters = TrafficCounters::default();
         let published = PublishedState::new(state, options.replica);
+        let usage_reader = UsageReader::new(published.shared_usage(), Arc::clone(&clock));
+        let usage_metrics = UsageMetrics::new(usage_reader.clone()).into_diagnostic()?;
+        (registry.register(Box::new(usage_metrics))).into_diagnostic()?;
         let replicas = options.replicas.clone();
         let local = options.replica;
         let peers = Peers::new(
@@ -137,6 +143,7 @@
             replica,
             published,
             registry,
+            usage: usage_reader,
             local,
         })
     }
@@ -177,6 +184,7 @@
                 applied_index: Arc::clone(&self.published.applied_index),
             },
             registry: self.registry.clone(),
+            usage: self.usage.clone(),
         })
     }
 
--- a/crates/control/tests/admin/backend.rs
+++ b/crates/control/tests/admin/backend.rs
@@ -1,11 +1,12 @@
 use crate::support::{attempt, bootstrap, claim, claim_key, end_claim, entry_join};
 use futures::future::LocalBoxFuture;
+use mangospindle_allowance::WorkspaceUsage;
 use mangospindle_control::OrderOrigin;
 use mangospindle_control::admin::{
     AdminBackend, DrainReport, EntryReport, ReplicaReport, ReplicaRole, StatusReport,
 };
 use mangospindle_http::Problem;
-use mangospindle_model::ErrorKind;
+use mangospindle_model::{Allowance, ErrorKind, KeyDigest, RouteTable, Workspace, WorkspaceTable};
 use mangospindle_state::{
     Actor, AuditPage, ClaimKey, ClaimOutcome, Command, CommandKind, Config, Outcome, RequestId,
     State,
@@ -19,8 +20,13 @@
     state_and_index: Mutex<(State, u64)>,
     /// Number of responses to drop after their commands were applied.
     pub responses_to_drop: Mutex<u32>,
+    usage: Vec<WorkspaceUsage>,
 }
 
+/// Keys of the workspaces in [`StateBackend::with_workspaces`]. No output may contain one.
+#[allow(dead_code, reason = "not every test uses workspaces")]
+pub const WORKSPACE_KEYS: [&str; 3] = ["u27g-first-key", "jqur-second-key", "p0sk-third-key"];
+
 impl StateBackend {
     /// Creates a state in which entry a0 has joined as process 0xab and owns x0 and x1, and the
     /// action with the key `k/1%` of service s is completed.
@@ -37,6 +43,53 @@
         backend
     }
 
+    /// Creates the same state with workspaces `yefi` (two keys, an allowance, a home region), `a/b%`
+    /// (no key, an allowance that this replica has not applied yet) and `open` (one key, no limit).
+    #[allow(dead_code, reason = "not every test uses workspaces")]
+    pub fn with_workspaces() -> Self {
+        let mut backend = StateBackend::new();
+        let allowance = Allowance {
+            rate: 467.5,
+            burst: 400.0,
+        };
+        let digests = WORKSPACE_KEYS.map(|key| KeyDigest::of(key.as_bytes()));
+        let yefi = Workspace {
+            keys: [digests[0], digests[1]].into(),
+            priority: 1,
+            allowance: Some(allowance),
+            home_regions: vec!["r0".to_string(), "r1".to_string()],
+        };
+        let waiting = Workspace {
+            allowance: Some(allowance),
+            ..Workspace::default()
+        };
+        let open = Workspace {
+            keys: [digests[2]].into(),
+            ..Workspace::default()
+        };
+        let workspaces = [("yefi", yefi), ("a/b%", waiting), ("open", open)];
+        let workspaces = workspaces.map(|(name, w)| (name.to_string(), w));
+        backend.apply_kind(CommandKind::PutRoutesAndWorkspaces {
+            table: Box::new(RouteTable {
+                number: 7,
+                ..RouteTable::default()
+            }),
+            workspaces: Box::new(WorkspaceTable {
+                workspaces: workspaces.into(),
+                ..WorkspaceTable::default()
+            }),
+            document: WORKSPACE_KEYS.join(","),
+        });
+        backend.usage = vec![WorkspaceUsage {
+            workspace: "yefi".to_string(),
+            allowance,
+            offered_rate: 512.25,
+            level: Some(-3.5),
+            rejected: 42,
+        }];
+        backend
+    }
+
     fn apply_kind(&self, kind: CommandKind) {
         self.apply(Command {
             request: RequestId(String::new()),
@@ -128,6 +181,10 @@
         self.read(|state| state.lookup_claim(&key))
     }
 
+    fn workspace_usage(&self) -> Vec<WorkspaceUsage> {
+        self.usage.clone()
+    }
+
     fn metrics(&self) -> String {
         "mangospindle_up 1\n".to_string()
     }
--- a/crates/control/tests/admin/main.rs
+++ b/crates/control/tests/admin/main.rs
@@ -12,3 +12,4 @@
 )]
 #[path = "../../../state/tests/state/support.rs"]
 mod support;
+mod workspaces;
--- a/crates/control/tests/admin/openapi.rs
+++ b/crates/control/tests/admin/openapi.rs
@@ -1,7 +1,8 @@
 use crate::support::profile;
+use mangospindle_allowance::WorkspaceUsage;
 use mangospindle_control::admin::ROUTES;
-use mangospindle_control::admin::wire::ProfileWire;
-use mangospindle_model::ErrorKind;
+use mangospindle_control::admin::wire::{ProfileWire, WorkspaceWire};
+use mangospindle_model::{Allowance, ErrorKind, Workspace};
 use serde_json::Value;
 use std::collections::BTreeSet;
 
@@ -14,8 +15,8 @@
         .collect()
 }
 
-/// Guards against an OpenAPI document that differs from the routes, the profile schema or the
-/// problem types.
+/// Guards against an OpenAPI document that differs from the routes, the schemas of profiles and
+/// workspaces, or the problem types.
 #[test]
 fn openapi_document_matches_api() {
     let document: Value =
@@ -62,6 +63,29 @@
         object_keys(&schemas["Profile"]["properties"]),
         object_keys(&wire)
     );
+    let usage = WorkspaceUsage {
+        workspace: "w".to_string(),
+        allowance: Allowance {
+            rate: 1.0,
+            burst: 1.0,
+        },
+        offered_rate: 0.0,
+        level: None,
+        rejected: 0,
+    };
+    let workspace = Workspace {
+        allowance: Some(usage.allowance),
+        ..Workspace::default()
+    };
+    let wire = serde_json::to_value(WorkspaceWire::new("w", &workspace, Some(&usage))).unwrap();
+    for (schema, wire) in [
+        ("Workspace", &wire),
+        ("Allowance", &wire["allowance"]),
+        ("WorkspaceUsage", &wire["usage"]),
+    ] {
+        let documented = object_keys(&schemas[schema]["properties"]);
+        assert_eq!(documented, object_keys(wire), "{schema}");
+    }
     let documented_types: BTreeSet<_> = (schemas["Problem"]["properties"]["type"]["enum"]
         .as_array()
         .unwrap())
