Add mangospindlectl workspaces list and show

Cause: operators read workspaces from the command line, as they do everything else. Keys are shown as digests.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -9,6 +9,7 @@
 mod services;
 mod status;
 mod vms;
+mod workspaces;
 
 use crate::client::Client;
 use crate::{Command, Done, Exit, Failure, Options};
@@ -49,6 +50,8 @@
         Command::Status => status::show(client, json).await,
         Command::Audit { after, limit } => audit::page(client, json, *after, *limit).await,
         Command::Action { service, key } => actions::show(client, json, service, key).await,
+        Command::WorkspacesList => workspaces::list(client, json).await,
+        Command::WorkspacesShow { name } => workspaces::show(client, json, name).await,
         Command::Lookup {
             entry,
             service,
--- a/crates/cli/src/options/command.rs
+++ b/crates/cli/src/options/command.rs
@@ -78,6 +78,10 @@
         service: String,
         key: String,
     },
+    WorkspacesList,
+    WorkspacesShow {
+        name: String,
+    },
     Lookup {
         entry: String,
         service: String,
--- a/crates/cli/src/options/parser.rs
+++ b/crates/cli/src/options/parser.rs
@@ -124,9 +124,15 @@
     );
     let audit = audit();
     let action = action();
+    let workspaces = sub(
+        "workspaces",
+        "Lists and shows workspaces with their usage",
+        workspaces(),
+    );
     let lookup = lookup();
     construct!([
-        profile, service, region, drain, endpoint, entry, fence, status, audit, action, lookup
+        profile, service, region, drain, endpoint, entry, fence, status, audit, action, workspaces,
+        lookup
     ])
 }
 
@@ -301,6 +307,24 @@
     sub("action", "Looks up an at-most-once action", parser)
 }
 
+fn workspaces() -> impl Parser<Command> {
+    let list = sub(
+        "list",
+        "Lists workspaces with their allowances and usage",
+        pure(Command::WorkspacesList),
+    );
+    let show = example(
+        "show",
+        "Shows a workspace with its usage and the digests of its keys",
+        "Example: mangospindlectl workspaces show yefi830",
+        {
+            let name = name("Name of the workspace");
+            construct!(Command::WorkspacesShow { name })
+        },
+    );
+    construct!([list, show])
+}
+
 fn lookup() -> impl Parser<Command> {
     let entry = long("entry")
         .help("Base URL of the entry to ask")
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -10,3 +10,4 @@
 #[allow(dead_code, reason = "the tests of the state machine use the rest")]
 #[path = "../../../state/tests/state/support.rs"]
 mod support;
+mod workspaces;
