--- a/crates/allowance/src/lib.rs
+++ b/crates/allowance/src/lib.rs
@@ -9,6 +9,7 @@
 mod local_allowance;
 mod message;
 mod offered_rate;
+mod usage_summary;
 mod usage_table;
 mod workspace_state;
 
@@ -16,4 +17,5 @@
 pub use message::{
     EntryUsage, MessageError, PeerUsage, PeerWorkspace, UsageReply, UsageReport, WorkspaceTotal,
 };
+pub use usage_summary::UsageSummary;
 pub use usage_table::{UsageTable, WorkspaceUsage};
