Let restarted replicas catch up before they call their restart reports complete

Cause: restart reports are kept in memory.

Change: after a start, a replica fetches the reports of all others with the request that entries send. It calls its reports complete when a replica that holds all of them has answered at least 0.5 s after the connection to a majority, or when it has been connected for that time and the retention time of 10 s. In a new group (no data on disk, and no other replica with complete reports) it does not wait. Messages are unchanged.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -34,6 +34,7 @@
 mod proposer;
 mod published_state;
 mod replica;
+mod report_catch_up;
 mod report_exchange;
 mod run;
 mod running_replica;
--- a/crates/control/src/report_exchange.rs
+++ b/crates/control/src/report_exchange.rs
@@ -3,9 +3,10 @@
 use crate::peers::Peers;
 use crate::published_state::PublishedState;
 use mangospindle_fleet::timing::{MAX_REPORTS_CONFIRMED_AGE, REPORT_BATCH_TIME, REPORT_HOLD};
-use mangospindle_fleet::{FollowReports, ReportReply, ReportRequest};
+use mangospindle_fleet::{FollowReports, ReportCatchUp, ReportReply, ReportRequest};
 use mangospindle_model::Clock;
 use mangospindle_rpc::PeerLink;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,8 @@
     pub(crate) peers: Rc<Peers>,
     pub(crate) published: Rc<PublishedState>,
     pub(crate) clock: Arc<dyn Clock>,
+    /// Whether this process has learned the reports from before its start.
+    pub(crate) catch_up: RefCell<ReportCatchUp>,
 }
 
 impl ReportExchange {
@@ -34,16 +37,34 @@
         }
         let now = self.clock.now();
         let reports = self.published.restart_reports.borrow();
-        let confirmed_age = self.published.confirmed_age(now);
         let unknown = request.follow.map(|f| reports.since(now, f.known));
         ReportReply {
             position: reports.position(),
-            complete: !self.published.out_of_service.get()
-                && confirmed_age.is_some_and(|age| age <= MAX_REPORTS_CONFIRMED_AGE),
+            complete: self.is_complete(now),
             reports: unknown.unwrap_or_default(),
         }
     }
 
+    fn is_complete(&self, now: Duration) -> bool {
+        let confirmed_age = self.published.confirmed_age(now);
+        !self.published.out_of_service.get()
+            && self.catch_up.borrow().is_caught_up()
+            && confirmed_age.is_some_and(|age| age <= MAX_REPORTS_CONFIRMED_AGE)
+    }
+
+    /// Records the recent reports of another replica.
+    pub(crate) fn merge(&self, reports: Vec<String>) {
+        let now = self.clock.now();
+        let mut known = self.published.restart_reports.borrow_mut();
+        known.merge(now, reports);
+        let count = known.position().count;
+        self.published.report_count.send_if_modified(|c| {
+            let changed = *c != count;
+            *c = count;
+            changed
+        });
+    }
+
     fn record(&self, reports: Vec<String>, pass_on: bool) {
         let now = self.clock.now();
         let mut known = self.published.restart_reports.borrow_mut();
--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -12,19 +12,21 @@
 use crate::published_state::PublishedState;
 use crate::replica::messages::{DiskDone, Stop};
 use crate::replica::{Parts, Replica};
+use crate::report_catch_up::ReportFetcher;
 use crate::report_exchange::ReportExchange;
 use crate::service::ReplicaService;
 use crate::vm_list::poll_vm_list;
 use crate::wall_clock::SystemWallClock;
 use actix::{Addr, AsyncContext, Context};
-use mangospindle_consensus::{Member, Node, NodeSettings, ReplicaId, Timing};
-use mangospindle_fleet::PollSchedule;
+use mangospindle_consensus::{Member, Node, NodeSettings, RecoveredState, ReplicaId, Timing};
+use mangospindle_fleet::{PollSchedule, ReplicaStart, ReportCatchUp};
 use mangospindle_model::Clock;
 use mangospindle_rpc::{TrafficCounters, serve};
 use mangospindle_storage::Wal;
 use mangospindle_telemetry::event;
 use miette::{IntoDiagnostic, Result, WrapErr};
 use prometheus::Registry;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,6 +61,7 @@
             audit_file,
         } = open_disk(&options.data_dir).into_diagnostic()?;
         let snapshot = recovered.snapshot.as_ref().map(|s| (s.index, s.data.len()));
+        let catch_up = ReportCatchUp::new(replica_start(&recovered));
         let settings = node_settings(&options, &wal);
         let node = Node::new(settings, recovered, rand::random(), clock.now())
             .into_diagnostic()
@@ -101,19 +104,23 @@
             snapshot,
         };
         cx.run(Replica::new(parts));
+        let reports = Rc::new(ReportExchange {
+            peers: Rc::clone(&peers),
+            published: Rc::clone(&published),
+            clock: Arc::clone(&clock),
+            catch_up: RefCell::new(catch_up),
+        });
+        let fetcher = ReportFetcher::new(Rc::clone(&reports), local);
         let service = Rc::new(ReplicaService {
             replica: replica.clone(),
             published: Rc::clone(&published),
             replicas: replicas.clone(),
-            reports: Rc::new(ReportExchange {
-                peers: Rc::clone(&peers),
-                published: Rc::clone(&published),
-                clock: Arc::clone(&clock),
-            }),
+            reports,
             clock: Arc::clone(&clock),
         });
         let server = serve(listener, service, Arc::clone(&clock), server_counters);
         tokio::task::spawn_local(server);
+        tokio::task::spawn_local(fetcher.run());
         if let ReplicaSet::Open { .. } = replicas {
             let exchange = Rc::new(ViewExchange {
                 peers,
@@ -178,6 +185,13 @@
     }
 }
 
+fn replica_start(recovered: &RecoveredState) -> ReplicaStart {
+    match *recovered == RecoveredState::default() {
+        true => ReplicaStart::First,
+        false => ReplicaStart::Restart,
+    }
+}
+
 /// Settings of the consensus node of a replica.
 pub(crate) fn node_settings(options: &ReplicaOptions, wal: &Wal) -> NodeSettings {
     NodeSettings {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod peer_entries;
 mod poll_schedule;
 mod relay_peers;
+mod report_catch_up;
 mod report_exchange;
 mod restart_reports;
 pub mod timing;
@@ -42,5 +43,6 @@
 pub use fleet::{CallerLocation, EntryLookup, Fleet, PeerKey, SentLists};
 pub use poll_schedule::{PollRole, PollSchedule, list_poll_interval};
 pub use relay_peers::RelayPeers;
+pub use report_catch_up::{CatchUpAnswer, ReplicaStart, ReportCatchUp};
 pub use report_exchange::{FollowReports, ReportReply, ReportRequest};
 pub use restart_reports::{ReportPosition, RestartReports};
--- a/crates/fleet/src/report_exchange.rs
+++ b/crates/fleet/src/report_exchange.rs
@@ -33,7 +33,8 @@
 pub struct ReportReply {
     /// Position up to which the sender then knows the reports.
     pub position: ReportPosition,
-    /// Whether the replica was connected to a majority lately, so that reports of others reach it.
+    /// Whether the replica holds all recent reports: it was connected to a majority lately, so that reports
+    /// of others reach it, and has caught up with them since its start.
     pub complete: bool,
     /// Instances that were reported after the known position.
     pub reports: Vec<String>,
--- a/crates/fleet/src/restart_reports.rs
+++ b/crates/fleet/src/restart_reports.rs
@@ -3,7 +3,7 @@
 
 /// Time for which a report is kept for entries that have just started or lost their replica. Longer than a
 /// cold start.
-const RETENTION: Duration = Duration::from_secs(10);
+pub(crate) const RETENTION: Duration = Duration::from_secs(10);
 
 /// Time after a report of an endpoint within which a further one tells nothing new. The connections that an
 /// endpoint loses at its end are noticed by many entries at about the same time.
@@ -59,14 +59,30 @@
         }
     }
 
-    /// Records reports and returns those that tell something new.
+    /// Records the reports of a request and returns those that tell something new.
     pub fn record<I>(&mut self, now: Duration, instances: I) -> Vec<String>
     where
         I: IntoIterator<Item = String>,
+    {
+        self.add(now, instances.into_iter().take(MAX_REPORTS_PER_REQUEST))
+    }
+
+    /// Records the recent reports that another replica holds. They are kept as if they were made now, which
+    /// is too long by their age.
+    pub fn merge<I>(&mut self, now: Duration, instances: I)
+    where
+        I: IntoIterator<Item = String>,
+    {
+        self.add(now, instances.into_iter().take(MAX_REPORTS));
+    }
+
+    fn add<I>(&mut self, now: Duration, instances: I) -> Vec<String>
+    where
+        I: Iterator<Item = String>,
     {
         self.expire(now);
         let mut new = Vec::new();
-        for instance in instances.into_iter().take(MAX_REPORTS_PER_REQUEST) {
+        for instance in instances {
             if instance.len() > MAX_INSTANCE_BYTES || self.is_repeated(now, &instance) {
                 continue;
             }
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -33,3 +33,15 @@
 /// Time for which an entry or a replica collects reports before it sends them. The connections that an
 /// endpoint loses at its end are noticed one after the other.
 pub const REPORT_BATCH_TIME: Duration = Duration::from_millis(15);
+
+/// Time after a replica is connected to a majority within which the others open their connections to it and
+/// can pass reports on. Longer than their delay between attempts to connect, 200 ms, and a round trip
+/// between regions.
+pub const REPORT_LINK_TIME: Duration = Duration::from_millis(500);
+
+/// Interval at which a replica that has started asks the others for their recent reports.
+pub const REPORT_CATCH_UP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time for which a replica that has started waits for the others' recent reports. Shorter than
+/// [`MAX_REPORTS_CONFIRMED_AGE`], so that a silent replica does not look like a freeze of this one.
+pub const REPORT_CATCH_UP_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/fleet/tests/restart_reports.rs
+++ b/crates/fleet/tests/restart_reports.rs
@@ -232,3 +232,43 @@
         );
     }
 }
+
+/// Guards against a replica that takes over only some of the reports that another one holds, or that calls
+/// those out again that it knows from both others.
+#[test]
+fn reports_of_other_replicas_are_merged() {
+    struct Case {
+        name: &'static str,
+        merged: Vec<Vec<String>>,
+        kept: Vec<String>,
+    }
+    let cases = [
+        Case {
+            name: "none",
+            merged: vec![Vec::new()],
+            kept: Vec::new(),
+        },
+        Case {
+            name: "the same from two replicas",
+            merged: vec![names(&["a", "b"]), names(&["b", "c"])],
+            kept: names(&["a", "b", "c"]),
+        },
+        Case {
+            name: "more than are taken from one request",
+            merged: vec![numbered(0..MAX_REPORTS)],
+            kept: numbered(0..MAX_REPORTS),
+        },
+    ];
+    for case in cases {
+        let mut reports = RestartReports::new(VIEW);
+        let start = Some(reports.position());
+        for merged in case.merged {
+            reports.merge(ms(1_000), merged);
+        }
+        assert!(
+            reports.since(ms(1_000), start) == case.kept,
+            "{}",
+            case.name
+        );
+    }
+}
