Test restarted replicas beside builds without reports, and the format of reports

Cause: nothing guarded against a replica that counts the empty reply of a build without reports as an answer, nor against a change of the messages that entries of the build before read.

Change: a stand-in for a replica without reports in the control tests, and a table of encoded messages.

--- a/crates/control/tests/report_catch_up.rs
+++ b/crates/control/tests/report_catch_up.rs
@@ -11,12 +11,15 @@
 #[allow(dead_code)] // Each test crate uses only some of the helpers.
 #[path = "support/replica_cluster.rs"]
 mod replica_cluster;
+#[path = "support/replica_without_reports.rs"]
+mod replica_without_reports;
 
 use futures::future::join_all;
 use mangospindle_fleet::{FollowReports, ReportReply, ReportRequest};
 use mangospindle_rpc::{PeerLink, TrafficCounters};
 use nix::sys::signal::Signal;
 use replica_cluster::{ReplicaCluster, WAIT_TIMEOUT, run_on_actix};
+use replica_without_reports::ReplicaWithoutReports;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -243,3 +246,50 @@
         }
     });
 }
+
+/// Guards against a replica that counts the empty reply of a build without reports as the answer of one that holds
+/// all, and against one that waits for such a replica for good.
+#[test]
+fn replicas_without_reports_are_not_counted() {
+    struct Case {
+        name: &'static str,
+        restarted: &'static [u16],
+        within: Duration,
+    }
+    let cases = [
+        Case {
+            name: "one of two with reports restarts",
+            restarted: &[1],
+            within: CATCH_UP_TIME,
+        },
+        Case {
+            name: "all with reports restart",
+            restarted: &[1, 2],
+            within: EXPIRY_TIME,
+        },
+    ];
+    run_on_actix(async {
+        for case in cases {
+            let mut cluster = ReplicaCluster::start(3).await;
+            spread_report(&cluster).await;
+            let reported_at = cluster.now();
+            cluster.kill(3);
+            let old = ReplicaWithoutReports::start(cluster.rpc_address(3), cluster.clock()).await;
+            for replica in case.restarted {
+                cluster.kill(*replica);
+            }
+            for replica in case.restarted {
+                cluster.start_replica(*replica);
+            }
+            let started_at = cluster.now();
+            let reply = wait_until_complete(&link(&cluster, 1)).await;
+            let at = cluster.now();
+            let what = format!("{}: after {:?}, {reply:?}", case.name, at - started_at);
+            println!("{what}");
+            let expired = at >= reported_at + RETENTION;
+            assert!(expired || reply.reports == [INSTANCE], "{what}");
+            assert!(at <= started_at + case.within, "{what}");
+            old.stop().await;
+        }
+    });
+}
--- a/crates/fleet/tests/report_messages.rs
+++ b/crates/fleet/tests/report_messages.rs
@@ -88,6 +88,57 @@
     }
 }
 
+/// Guards against messages that entries and replicas of the build before do not understand.
+#[test]
+fn messages_have_the_format_of_earlier_builds() {
+    struct Case {
+        name: &'static str,
+        encoded: Vec<u8>,
+        expected: &'static [u8],
+    }
+    let position = ReportPosition {
+        view: 1,
+        count: 300,
+    };
+    let cases = [
+        Case {
+            name: "report",
+            encoded: ReportRequest {
+                reports: vec!["a".to_string()],
+                pass_on: true,
+                ..ReportRequest::default()
+            }
+            .encode(),
+            expected: &[2, 1, 1, b'a', 1, 0],
+        },
+        Case {
+            name: "request for reports",
+            encoded: ReportRequest {
+                follow: Some(FollowReports {
+                    known: Some(position),
+                    hold: Duration::from_millis(500),
+                }),
+                ..ReportRequest::default()
+            }
+            .encode(),
+            expected: &[2, 0, 0, 1, 1, 1, 0xac, 2, 0, 0x80, 0xca, 0xb5, 0xee, 1],
+        },
+        Case {
+            name: "reply",
+            encoded: ReportReply {
+                position,
+                complete: true,
+                reports: vec!["a".to_string()],
+            }
+            .encode(),
+            expected: &[1, 0xac, 2, 1, 1, 1, b'a'],
+        },
+    ];
+    for case in cases {
+        assert_eq!(case.encoded, case.expected, "{}", case.name);
+    }
+}
+
 /// Guards against a replica or an entry that ends, or takes a part for the whole, when a message arrives
 /// damaged.
 #[test]
