Keep replicas from renewing each other's restart reports

Cause: while several replicas catch up, each fetched what the other had just fetched. Later than 200 ms after the first one such a report counted as new, with 10 s of retention.

Change: fetched reports of instances that have a recent report are left out.

--- a/crates/fleet/src/restart_reports.rs
+++ b/crates/fleet/src/restart_reports.rs
@@ -1,4 +1,4 @@
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Time for which a report is kept for entries that have just started or lost their replica. Longer than a
@@ -64,40 +64,44 @@
     where
         I: IntoIterator<Item = String>,
     {
-        self.add(now, instances.into_iter().take(MAX_REPORTS_PER_REQUEST))
+        self.expire(now);
+        let mut new = Vec::new();
+        for instance in instances.into_iter().take(MAX_REPORTS_PER_REQUEST) {
+            if instance.len() > MAX_INSTANCE_BYTES || self.is_repeated(now, &instance) {
+                continue;
+            }
+            new.push(instance.clone());
+            self.push(now, instance);
+        }
+        new
     }
 
     /// Records the recent reports that another replica holds. They are kept as if they were made now, which
-    /// is too long by their age.
+    /// is too long by their age. Instances with a recent report are left out; otherwise replicas that fetch
+    /// from each other would renew their reports.
     pub fn merge<I>(&mut self, now: Duration, instances: I)
     where
         I: IntoIterator<Item = String>,
-    {
-        self.add(now, instances.into_iter().take(MAX_REPORTS));
-    }
-
-    fn add<I>(&mut self, now: Duration, instances: I) -> Vec<String>
-    where
-        I: Iterator<Item = String>,
     {
         self.expire(now);
-        let mut new = Vec::new();
-        for instance in instances {
-            if instance.len() > MAX_INSTANCE_BYTES || self.is_repeated(now, &instance) {
-                continue;
-            }
-            self.position.count += 1;
-            new.push(instance.clone());
-            self.recent.push_back(Report {
-                number: self.position.count,
-                instance,
-                at: now,
-            });
-            if self.recent.len() > MAX_REPORTS {
-                self.recent.pop_front();
+        let mut known: BTreeSet<String> = self.recent.iter().map(|r| r.instance.clone()).collect();
+        for instance in instances.into_iter().take(MAX_REPORTS) {
+            if instance.len() <= MAX_INSTANCE_BYTES && known.insert(instance.clone()) {
+                self.push(now, instance);
             }
         }
-        new
+    }
+
+    fn push(&mut self, now: Duration, instance: String) {
+        self.position.count += 1;
+        self.recent.push_back(Report {
+            number: self.position.count,
+            instance,
+            at: now,
+        });
+        if self.recent.len() > MAX_REPORTS {
+            self.recent.pop_front();
+        }
     }
 
     /// The position after the latest report.
--- a/crates/fleet/tests/restart_reports.rs
+++ b/crates/fleet/tests/restart_reports.rs
@@ -233,42 +233,101 @@
     }
 }
 
-/// Guards against a replica that takes over only some of the reports that another one holds, or that calls
-/// those out again that it knows from both others.
+/// Guards against a replica that takes over only some of the reports that another one holds, and against one that
+/// repeats reports to its entries because several others hold them.
 #[test]
 fn reports_of_other_replicas_are_merged() {
     struct Case {
         name: &'static str,
-        merged: Vec<Vec<String>>,
-        kept: Vec<String>,
+        recorded: Vec<String>,
+        /// Times and reports of other replicas, after the recorded ones.
+        merged: Vec<(u64, Vec<String>)>,
+        since_start: Vec<String>,
     }
+    let too_long = "i".repeat(MAX_INSTANCE_BYTES + 1);
     let cases = [
         Case {
             name: "none",
-            merged: vec![Vec::new()],
-            kept: Vec::new(),
+            recorded: Vec::new(),
+            merged: vec![(1_000, Vec::new())],
+            since_start: Vec::new(),
         },
         Case {
             name: "the same from two replicas",
-            merged: vec![names(&["a", "b"]), names(&["b", "c"])],
-            kept: names(&["a", "b", "c"]),
+            recorded: Vec::new(),
+            merged: vec![(1_000, names(&["a", "b"])), (2_000, names(&["b", "c"]))],
+            since_start: names(&["a", "b", "c"]),
+        },
+        Case {
+            name: "two of an endpoint in one reply",
+            recorded: Vec::new(),
+            merged: vec![(1_000, names(&["a", "b", "a"]))],
+            since_start: names(&["a", "b"]),
+        },
+        Case {
+            name: "known from an entry",
+            recorded: names(&["a"]),
+            merged: vec![(2_000, names(&["a", "b"]))],
+            since_start: names(&["a", "b"]),
+        },
+        Case {
+            name: "expired here",
+            recorded: names(&["a"]),
+            merged: vec![(11_000, names(&["a"]))],
+            since_start: names(&["a"]),
+        },
+        Case {
+            name: "too long",
+            recorded: Vec::new(),
+            merged: vec![(1_000, vec![too_long, "a".to_string()])],
+            since_start: names(&["a"]),
         },
         Case {
             name: "more than are taken from one request",
-            merged: vec![numbered(0..MAX_REPORTS)],
-            kept: numbered(0..MAX_REPORTS),
+            recorded: Vec::new(),
+            merged: vec![(1_000, numbered(0..MAX_REPORTS))],
+            since_start: numbered(0..MAX_REPORTS),
+        },
+        Case {
+            name: "more than are kept",
+            recorded: names(&["a"]),
+            merged: vec![(1_000, numbered(0..MAX_REPORTS + 1))],
+            since_start: numbered(0..MAX_REPORTS),
         },
     ];
     for case in cases {
         let mut reports = RestartReports::new(VIEW);
         let start = Some(reports.position());
-        for merged in case.merged {
-            reports.merge(ms(1_000), merged);
+        reports.record(ms(1_000), case.recorded);
+        let mut now = 1_000;
+        for (at, merged) in case.merged {
+            now = at;
+            reports.merge(ms(now), merged);
         }
-        assert!(
-            reports.since(ms(1_000), start) == case.kept,
-            "{}",
-            case.name
-        );
+        let since = reports.since(ms(now), start);
+        assert!(since == case.since_start, "{}", case.name);
+    }
+}
+
+/// Guards against replicas that renew a report again and again while they fetch the reports of each other, so that
+/// entries check the endpoint for as long.
+#[test]
+fn replicas_that_fetch_from_each_other_do_not_renew_reports() {
+    let mut replicas = [RestartReports::new(1), RestartReports::new(2)];
+    let mut known = [None, None];
+    replicas[0].record(ms(1_000), names(&["a"]));
+    // The interval between fetches while a third replica does not answer.
+    for now in (1_000..30_000).step_by(400) {
+        let fetched = [0, 1].map(|from| {
+            let known = known[from].replace(replicas[from].position());
+            replicas[from].since(ms(now), known)
+        });
+        for (from, fetched) in fetched.into_iter().enumerate() {
+            replicas[1 - from].merge(ms(now), fetched);
+        }
+    }
+    for replica in replicas {
+        assert_eq!(replica.position().count, 1);
+        assert_eq!(replica.since(ms(30_000), None), Vec::<String>::new());
     }
 }
