Remove every key on public routes and refund rejected relays

Cause, each shown by a test that failed before: - On a public route, a key of a workspace reached endpoints and other entries if the header was repeated, held several keys, or named another scheme or none. - An entry whose configuration has no workspaces ran a request that was relayed to it for a workspace, without the home regions of that workspace. - A relayed request that the other entry rejected with 503 stayed charged to the workspace.

Change: on public routes those values of the header that contain a key are removed, and others are kept. A named workspace is unknown where there are no workspaces, so the relay is declined. The response to a request that was relayed for a workspace says whether it has not run (x-mangospindle-not-run), and the first entry refunds it. Without workspaces this header is neither sent nor read.

--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -45,6 +45,10 @@
     fn find(&self, key: &[u8]) -> Option<String> {
         self.keys.borrow().find(key).map(str::to_string)
     }
+
+    fn is_key(&self, bytes: &[u8]) -> bool {
+        self.keys.borrow().find(bytes).is_some()
+    }
 }
 
 /// What the access check found out about a request.
@@ -90,10 +94,17 @@
     (key, route): (&RouteKey, &Route),
 ) -> Result<Access, Response> {
     if routes.workspaces.is_empty() {
-        return Ok(Access {
-            home_regions: route.home_regions.clone(),
-            ..Access::default()
-        });
+        // An entry with a newer configuration relays for a workspace whose home regions are not known here.
+        let names_workspace = inbound.headers.contains_key(RELAYED_WORKSPACE);
+        return match origin {
+            Origin::Entry if names_workspace => {
+                Err(reject(gateway, id, route, Rejection::UnknownWorkspace))
+            }
+            Origin::Entry | Origin::Caller => Ok(Access {
+                home_regions: route.home_regions.clone(),
+                ..Access::default()
+            }),
+        };
     }
     let result = identify(gateway, inbound, origin, &routes.workspaces, key)
         .and_then(|workspace| admit(gateway, origin, &routes.workspaces, route, workspace));
@@ -110,9 +121,10 @@
     }
 }
 
-/// Gives back what a request was charged if this entry rejected it and it has not run.
+/// Gives back what a request was charged if it was rejected, here or by the entry that it was relayed to, and
+/// has not run.
 pub(crate) fn refund(gateway: &Gateway, access: &Access, response: &Response) {
-    let not_run = response.error_kind.is_some_and(ErrorKind::has_not_run);
+    let not_run = response.not_run;
     if let Some(workspace) = access
         .workspace
         .as_deref()
@@ -132,24 +144,22 @@
     key: &RouteKey,
 ) -> Result<Option<String>, Rejection> {
     let relayed = inbound.headers.remove(RELAYED_WORKSPACE).next();
-    let credentials = gateway.protocol.credentials(&inbound.headers);
-    let workspace = match &credentials {
-        Credentials::Key(key) => gateway.workspaces.find(key),
-        Credentials::None | Credentials::Unusable => None,
-    };
-    let requires_key = table.requires_key(key);
-    // Public routes may use the header for other credentials than keys of workspaces.
-    if requires_key || workspace.is_some() {
-        gateway.protocol.remove_credentials(&mut inbound.headers);
+    if !table.requires_key(key) {
+        // Public routes may use the header for other credentials than keys of workspaces.
+        let is_key = |bytes: &[u8]| gateway.workspaces.is_key(bytes);
+        (gateway.protocol).remove_keys(&mut inbound.headers, &is_key);
+        return Ok(None);
     }
+    let credentials = gateway.protocol.credentials(&inbound.headers);
+    gateway.protocol.remove_credentials(&mut inbound.headers);
     match (origin, credentials) {
-        _ if !requires_key => Ok(None),
         (Origin::Entry, _) => known_workspace(table, relayed.as_ref()).map(Some),
         (Origin::Caller, Credentials::None) => Err(Rejection::Unauthorized("no_key")),
         (Origin::Caller, Credentials::Unusable) => Err(Rejection::Unauthorized("unusable_key")),
-        (Origin::Caller, Credentials::Key(_)) => workspace
-            .map(Some)
-            .ok_or(Rejection::Unauthorized("unknown_key")),
+        (Origin::Caller, Credentials::Key(key)) => {
+            let workspace = gateway.workspaces.find(&key).map(Some);
+            workspace.ok_or(Rejection::Unauthorized("unknown_key"))
+        }
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use crate::inbound_request::InboundRequest;
 use crate::origin::Origin;
 use crate::protocol::RequestMetadata;
-use crate::relay::{mark_not_sent, relay};
+use crate::relay::{mark_not_run, mark_not_sent, relay};
 use crate::requests_in_progress::RequestKey;
 use crate::response::Response;
 use mangospindle_dispatch::{EndpointKey, Refusal, RefusalReason, Request};
@@ -104,6 +104,9 @@
     refund(&gateway, &access, &response);
     if origin == Origin::Entry {
         mark_not_sent(&mut response, gateway.paths_lost());
+        if access.workspace.is_some() {
+            mark_not_run(&mut response);
+        }
     }
     let elapsed = gateway.now().saturating_sub(arrived_at);
     let status = response.status.as_u16();
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -60,6 +60,10 @@
     /// Removes all credentials from the headers of a request.
     fn remove_credentials(&self, headers: &mut HeaderMap);
 
+    /// Removes those credentials from the headers of a request that contain a key, in whatever form, and keeps
+    /// the others. `is_key` tells whether some bytes are a key.
+    fn remove_keys(&self, headers: &mut HeaderMap, is_key: &dyn Fn(&[u8]) -> bool);
+
     /// Sets the header that tells an endpoint the workspace of a request, whatever the caller sent; removes
     /// it if the request belongs to none.
     fn set_workspace(&self, headers: &mut HeaderMap, workspace: Option<&str>);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,6 +33,10 @@
 /// Value of [`NOT_SENT`] if the service has no usable endpoint in the view of the other entry.
 const NO_ENDPOINT: HeaderValue = HeaderValue::from_static("no-endpoint");
 
+/// Header of the response to a request that was relayed for a workspace, if the other entry made the response and
+/// the request has not run. The first entry then gives back what it charged.
+const NOT_RUN: HeaderName = HeaderName::from_static("x-mangospindle-not-run");
+
 /// Maximum number of entries to which one request is offered.
 const MAX_PEERS: usize = 3;
 
@@ -145,6 +149,16 @@
     response
 }
 
+/// Marks the response to a request that was relayed for a workspace if the request has not run.
+pub(crate) fn mark_not_run(response: &mut Response) {
+    // Endpoints cannot set the mark.
+    response.headers.remove(NOT_RUN);
+    if response.not_run {
+        let value = HeaderValue::from_static("1");
+        response.headers.insert(NOT_RUN, value);
+    }
+}
+
 /// Marks the response to a relayed request if the request was not sent to any endpoint.
 pub(crate) fn mark_not_sent(response: &mut Response, paths_lost: bool) {
     let reason = match response.error_kind {
@@ -196,15 +210,22 @@
     let guard = SendGuard::relayed(Rc::clone(gateway));
     let body = read_body(&head, exchange, guard, context.deadline, false);
     match tokio::time::timeout(gateway.time_left(context), body).await {
-        Ok(Ok((body, _))) => RelayResult::Response(relayed_response(&head, body)),
+        Ok(Ok((body, _))) => RelayResult::Response(relayed_response(context, &head, body)),
         Ok(Err(e)) => RelayResult::Failed(e),
         Err(_) => RelayResult::TimedOut,
     }
 }
 
-fn relayed_response(head: &ResponseHead, body: ResponseBody) -> Response {
+fn relayed_response(
+    context: &AttemptContext<'_>,
+    head: &ResponseHead,
+    body: ResponseBody,
+) -> Response {
     let mut response = Response::from_endpoint(head, body);
     response.headers.remove(NOT_SENT);
+    if context.access.workspace.is_some() {
+        response.not_run = response.headers.remove(NOT_RUN).next().is_some();
+    }
     response
 }
 
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -42,6 +42,8 @@
     pub(crate) closes_connection: bool,
     /// The error, if this entry made the response.
     pub(crate) error_kind: Option<ErrorKind>,
+    /// Whether it is certain that the request has not run.
+    pub(crate) not_run: bool,
 }
 
 impl Response {
@@ -53,6 +55,7 @@
             body,
             closes_connection: false,
             error_kind: None,
+            not_run: false,
         }
     }
 
@@ -79,6 +82,7 @@
             body: ResponseBody::Buffered(Bytes::from(format!("{}: {detail}\n", row.name))),
             closes_connection: false,
             error_kind: Some(kind),
+            not_run: kind.has_not_run(),
         }
     }
 }
