Keep the configuration if replicas without state send an older one

Change: a table takes the place of one with workspaces only if its number is higher. Without workspaces nothing changes.

--- a/crates/gateway/src/control_sync.rs
+++ b/crates/gateway/src/control_sync.rs
@@ -6,6 +6,7 @@
 use mangospindle_fleet::{
     EndpointCopy, EndpointUpdate, EntryAnnouncement, ExchangeReply, ExchangeRequest, KnownVersions,
 };
+use mangospindle_model::RouteTable;
 use mangospindle_rpc::ControlClient;
 use mangospindle_telemetry::event;
 use std::net::SocketAddr;
@@ -27,7 +28,7 @@
             continue;
         }
         let changed = gateway.with_dispatcher(|d, now| {
-            let changed = d.routes().number != config.routes.number;
+            let changed = replaces(d.routes(), &config.routes);
             let routes = match changed {
                 true => Arc::new(config.routes.clone()),
                 false => Arc::clone(d.routes()),
@@ -45,6 +46,15 @@
     }
 }
 
+/// Whether a table that the replicas sent takes the place of the current one. Replicas that lost their state can
+/// send an older table; it must not put withdrawn keys in force again.
+fn replaces(current: &RouteTable, next: &RouteTable) -> bool {
+    match current.workspaces.is_empty() {
+        true => next.number != current.number,
+        false => next.number > current.number,
+    }
+}
+
 /// Periodically announces this entry to a control replica and applies the list of endpoints that it
 /// returns.
 pub(crate) async fn run_exchange(gateway: Rc<Gateway>, client: ControlClient) {
