Mark relays that are rejected before dispatch as not run

Cause: a relayed request that the other entry rejected before dispatch, because its configuration has no common home region, stayed charged at the first entry.

Change: such a response carries the mark, too. The test covers when the mark is set, and that endpoints cannot set it.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -78,7 +78,12 @@
     let id = metadata.id.as_deref().unwrap_or_default();
     let access = match check_access(&gateway, &mut inbound, id, origin, &routes, (key, route)) {
         Ok(access) => access,
-        Err(response) => return response,
+        Err(mut response) => {
+            if origin == Origin::Entry {
+                mark_not_run(&mut response);
+            }
+            return response;
+        }
     };
     let Some(target) = gateway.next_target(key, route) else {
         let response = Response::error(ErrorKind::NoEndpoint, "the route has no target", None);
