--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use crate::inbound_request::InboundRequest;
 use crate::origin::Origin;
 use crate::protocol::RequestMetadata;
-use crate::relay::{mark_not_sent, relay};
+use crate::relay::{mark_not_run, mark_not_sent, relay};
 use crate::requests_in_progress::RequestKey;
 use crate::response::Response;
 use mangospindle_dispatch::{EndpointKey, Refusal, RefusalReason, Request};
@@ -78,7 +78,12 @@
     let id = metadata.id.as_deref().unwrap_or_default();
     let access = match check_access(&gateway, &mut inbound, id, origin, &routes, (key, route)) {
         Ok(access) => access,
-        Err(response) => return response,
+        Err(mut response) => {
+            if origin == Origin::Entry {
+                mark_not_run(&mut response);
+            }
+            return response;
+        }
     };
     let Some(target) = gateway.next_target(key, route) else {
         let response = Response::error(ErrorKind::NoEndpoint, "the route has no target", None);
@@ -104,6 +109,9 @@
     refund(&gateway, &access, &response);
     if origin == Origin::Entry {
         mark_not_sent(&mut response, gateway.paths_lost());
+        if access.workspace.is_some() {
+            mark_not_run(&mut response);
+        }
     }
     let elapsed = gateway.now().saturating_sub(arrived_at);
     let status = response.status.as_u16();
