--- a/crates/rpc/tests/support/fake_service.rs
+++ b/crates/rpc/tests/support/fake_service.rs
@@ -12,6 +12,8 @@
 pub struct FakeService {
     pub delivered: RefCell<Vec<Message>>,
     pub version: Cell<u64>,
+    /// Content of each watch reply to a caller with another version. `None` sends an empty configuration.
+    pub content: RefCell<Option<WatchContent>>,
     /// Age of the last confirmation in each watch reply. `None` if the state was never confirmed.
     pub state_age: Cell<Option<Duration>>,
     /// Result of every proposal. `None` leaves proposals unanswered.
@@ -25,6 +27,7 @@
         FakeService {
             delivered: RefCell::default(),
             version: Cell::new(version),
+            content: RefCell::default(),
             state_age: Cell::new(Some(Duration::from_millis(50))),
             propose_result: RefCell::default(),
             proposal_count: Cell::new(0),
@@ -39,10 +42,11 @@
             version,
             ..Config::default()
         };
+        let content = self.content.borrow().clone();
         let reply = WatchReply {
             version,
             content: match request.known_version < version {
-                true => WatchContent::Config(Box::new(config)),
+                true => content.unwrap_or(WatchContent::Config(Box::new(config))),
                 false => WatchContent::Unchanged,
             },
             confirmed_age: self.state_age.get(),
