--- a/crates/state/tests/state/oracle.rs
+++ b/crates/state/tests/state/oracle.rs
@@ -1,4 +1,5 @@
 use crate::support::{ENTRY_DOMAINS, ENTRY_NAMES, MAX_DEADLINE_MS};
+use mangospindle_model::WorkspaceTable;
 use mangospindle_state::{
     Attempt, ChangesSince, ClaimKey, ClaimOutcome, Command, CommandKind, Config, EntryStatus,
     Outcome, State, Takeover,
@@ -36,6 +37,8 @@
     /// Time at which the last request of a lost owner of each endpoint ends.
     busy_until_ms: BTreeMap<usize, u64>,
     profile_versions: BTreeMap<String, u64>,
+    /// Workspaces of the accepted table with the highest number, and that number.
+    workspaces: (u64, WorkspaceTable),
     holders: BTreeMap<ClaimKey, ClaimHolder>,
     released: BTreeSet<Attempt>,
     /// Entries and incarnations of processes that were replaced or fenced.
@@ -47,6 +50,7 @@
     pub fn check(&mut self, state: &State, command: &Command, outcome: &Outcome, now_ms: u64) {
         self.check_ownership(state.config(), command, now_ms);
         self.check_versions(state, outcome);
+        self.check_workspaces(state, command, outcome);
         self.check_claim(state, command, outcome, now_ms);
         self.config = state.config().clone();
     }
@@ -157,6 +161,29 @@
         );
     }
 
+    fn check_workspaces(&mut self, state: &State, command: &Command, outcome: &Outcome) {
+        let put = match &command.kind {
+            CommandKind::PutRoutes { table, .. } => Some((table.number, WorkspaceTable::default())),
+            CommandKind::PutRoutesAndWorkspaces {
+                table, workspaces, ..
+            } => Some((table.number, WorkspaceTable::clone(workspaces))),
+            _ => None,
+        };
+        if let Some((number, workspaces)) = put {
+            let is_valid = workspaces.validate().is_ok();
+            let is_accepted = matches!(outcome, Outcome::Done { .. });
+            assert_eq!(is_accepted, is_valid, "table {number}: {outcome:?}");
+            if is_accepted && number > self.workspaces.0 {
+                self.workspaces = (number, workspaces);
+            }
+        }
+        let routes = &state.config().routes;
+        let (number, workspaces) = &self.workspaces;
+        assert_eq!((routes.number, &routes.workspaces), (*number, workspaces));
+        let document = (*number > 0).then(|| format!("document {number}"));
+        assert_eq!(state.route_document(), document.unwrap_or_default());
+    }
+
     fn check_claim(&mut self, state: &State, command: &Command, outcome: &Outcome, now_ms: u64) {
         match (&command.kind, outcome) {
             (CommandKind::Claim { key, attempt, .. }, Outcome::Claim(ClaimOutcome::Granted)) => {
--- a/crates/state/tests/state/snapshots.rs
+++ b/crates/state/tests/state/snapshots.rs
@@ -24,18 +24,55 @@
     replica
 }
 
+/// Returns a replica whose snapshot also has workspaces, and records of changes of them.
+fn replica_with_workspaces() -> TestReplica {
+    let mut replica = populated_replica();
+    replica.propose("r4", put_workspaces(1, workspace_table(1)));
+    replica.propose("r5", put_workspaces(2, workspace_table(2)));
+    replica
+}
+
 /// Guards against a panic or a wrong state after decoding a damaged file, and against a changed
-/// layout under the same format number. If the digest changes, `SNAPSHOT_FORMAT` needs a new value.
+/// layout under the same format number. If a digest changes, its format needs a new number.
 #[test]
-fn snapshot_format_is_stable_and_checked() {
-    let bytes = populated_replica().state.encode();
-    let mut unknown_format = bytes.clone();
+fn snapshot_formats_are_stable_and_checked() {
+    struct Case {
+        name: &'static str,
+        replica: TestReplica,
+        format: u8,
+        digest: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "without workspaces",
+            replica: populated_replica(),
+            format: 2,
+            digest: "9e80c02a60a07da5",
+        },
+        Case {
+            name: "with workspaces",
+            replica: replica_with_workspaces(),
+            format: 3,
+            digest: "9c5a2d524e68cf66",
+        },
+    ];
+    for case in cases {
+        let bytes = case.replica.state.encode();
+        assert_eq!(bytes[0], case.format, "{}", case.name);
+        check_damaged_snapshots(case.name, &bytes);
+        let digest = format!("{:x}", Sha256::digest(&bytes));
+        assert_eq!(&digest[..16], case.digest, "{}", case.name);
+    }
+}
+
+fn check_damaged_snapshots(name: &str, bytes: &[u8]) {
+    let mut unknown_format = bytes.to_vec();
     unknown_format[0] = 99;
     assert_eq!(
         State::decode(&unknown_format).err(),
         Some(DecodeError::UnknownFormat(99))
     );
-    let mut with_trailing_byte = bytes.clone();
+    let mut with_trailing_byte = bytes.to_vec();
     with_trailing_byte.push(0);
     assert!(matches!(
         State::decode(&with_trailing_byte),
@@ -44,17 +81,32 @@
     for end in 0..bytes.len() {
         assert!(
             State::decode(&bytes[..end]).is_err(),
-            "a snapshot truncated to {end} bytes was decoded"
+            "{name}: a snapshot truncated to {end} bytes was decoded"
         );
     }
     for i in 0..bytes.len() {
-        let mut damaged = bytes.clone();
+        let mut damaged = bytes.to_vec();
         damaged[i] ^= 0x55;
         // Some damage results in another valid snapshot. The checksum of the file detects that.
         let _ = State::decode(&damaged);
     }
-    let digest = format!("{:x}", Sha256::digest(&bytes));
-    assert_eq!(&digest[..16], "9e80c02a60a07da5");
+}
+
+/// Guards against a snapshot that loses its workspaces, or is read as one of the other format.
+#[test]
+fn snapshot_formats_are_not_taken_for_each_other() {
+    let state = replica_with_workspaces().state;
+    let bytes = state.encode();
+    let restored = State::decode(&bytes).unwrap();
+    assert_eq!(restored.config(), state.config());
+    assert!(!restored.config().routes.workspaces.is_empty());
+    for (format, bytes) in [(2, bytes), (3, populated_replica().state.encode())] {
+        let mut other_format = bytes;
+        other_format[0] = format;
+        let result = State::decode(&other_format);
+        let is_malformed = matches!(result, Err(DecodeError::Malformed(_)));
+        assert!(is_malformed, "format {format}");
+    }
 }
 
 /// Guards against gaps or duplicates in the changes for watchers and in the pages of the audit
--- a/crates/state/tests/state/support.rs
+++ b/crates/state/tests/state/support.rs
@@ -1,6 +1,7 @@
 use mangospindle_model::{
-    Endpoint, EndpointId, Entry, EntryId, FailureDomain, FailureDomainId, Hedging, Profile, Region,
-    RegionId, RequestClass, Service, ServiceId, Topology, Weights,
+    Allowance, Endpoint, EndpointId, Entry, EntryId, FailureDomain, FailureDomainId, Hedging,
+    KeyDigest, Profile, Region, RegionId, RequestClass, RouteKey, RouteTable, Service, ServiceId,
+    Topology, Weights, Workspace, WorkspaceTable,
 };
 use mangospindle_state::{
     Actor, Attempt, ClaimKey, Command, CommandKind, Outcome, RecordedResponse, RequestId, State,
@@ -179,6 +180,59 @@
     }
 }
 
+/// Number of tables that [`workspace_table`] returns.
+pub const WORKSPACE_TABLES: u8 = 5;
+
+/// Returns one of a few tables of workspaces. The first is empty and the last is not valid, because two
+/// workspaces share a key.
+pub fn workspace_table(number: u8) -> WorkspaceTable {
+    let workspace = |keys: &[&str], rate: Option<f64>| Workspace {
+        keys: keys.iter().map(|k| KeyDigest::of(k.as_bytes())).collect(),
+        allowance: rate.map(|rate| Allowance { rate, burst: 5.0 }),
+        ..Workspace::default()
+    };
+    let rows = match number {
+        0 => return WorkspaceTable::default(),
+        1 => vec![("a", workspace(&["k1", "k2"], Some(10.0)))],
+        2 => vec![
+            ("a", workspace(&[], Some(3.0))),
+            ("b", workspace(&["k1"], None)),
+        ],
+        3 => vec![("b", workspace(&["k3"], Some(0.5)))],
+        _ => vec![
+            ("a", workspace(&["k1"], None)),
+            ("b", workspace(&["k1"], None)),
+        ],
+    };
+    let public_route = |n: u8| RouteKey {
+        host: "shop.example".to_string(),
+        prefix: format!("/open-{n}/"),
+    };
+    WorkspaceTable {
+        workspaces: (rows.into_iter())
+            .map(|(name, w)| (name.to_string(), w))
+            .collect(),
+        public_routes: (1..number).map(public_route).collect(),
+    }
+}
+
+/// Returns the command of the operators' part that puts a route table with these workspaces.
+pub fn put_workspaces(number: u64, workspaces: WorkspaceTable) -> CommandKind {
+    let table = Box::new(RouteTable {
+        number,
+        ..RouteTable::default()
+    });
+    let document = format!("document {number}");
+    match workspaces.is_empty() {
+        true => CommandKind::PutRoutes { table, document },
+        false => CommandKind::PutRoutesAndWorkspaces {
+            table,
+            workspaces: Box::new(workspaces),
+            document,
+        },
+    }
+}
+
 /// A state with the index of its last command and the wall clock of its leader.
 pub struct TestReplica {
     pub state: State,
--- a/crates/state/tests/state/workspaces.rs
+++ b/crates/state/tests/state/workspaces.rs
@@ -1,5 +1,6 @@
 //! Tests of workspaces in the replicated state.
 
+use crate::support::put_workspaces;
 use mangospindle_model::{
     Allowance, EndpointService, KeyDigest, RequestLimits, Route, RouteKey, RouteTable, Topology,
     Workspace, WorkspaceTable,
@@ -30,22 +31,6 @@
     }
 }
 
-fn put(number: u64, workspaces: WorkspaceTable) -> CommandKind {
-    let table = Box::new(RouteTable {
-        number,
-        ..RouteTable::default()
-    });
-    let document = format!("document {number}");
-    match workspaces.is_empty() {
-        true => CommandKind::PutRoutes { table, document },
-        false => CommandKind::PutRoutesAndWorkspaces {
-            table,
-            workspaces: Box::new(workspaces),
-            document,
-        },
-    }
-}
-
 fn apply(state: &mut State, index: u64, kind: CommandKind) -> Outcome {
     let command = Command {
         request: RequestId(format!("request-{index}")),
@@ -114,7 +99,11 @@
     let mut state = bootstrapped_state();
     let mut entry = state.config().clone();
     for (n, case) in cases.into_iter().enumerate() {
-        apply(&mut state, n as u64 + 2, put(case.number, case.workspaces));
+        apply(
+            &mut state,
+            n as u64 + 2,
+            put_workspaces(case.number, case.workspaces),
+        );
         let table = &state.config().routes.workspaces.workspaces;
         let found: Vec<(&str, usize)> = (table.iter())
             .map(|(name, w)| (name.as_str(), w.keys.len()))
@@ -156,7 +145,7 @@
     let (earlier, table) = (postcard::to_stdvec(&earlier), postcard::to_stdvec(&table));
     assert_eq!(earlier.unwrap(), table.unwrap());
     let mut state = bootstrapped_state();
-    apply(&mut state, 2, put(1, WorkspaceTable::default()));
+    apply(&mut state, 2, put_workspaces(1, WorkspaceTable::default()));
     assert_eq!(state.encode()[0], 2, "format of the snapshot");
     let config: Config = state.config().clone();
     assert!(config.routes.workspaces.is_empty());
@@ -167,9 +156,13 @@
 #[test]
 fn snapshots_with_records_of_workspaces_have_their_own_format() {
     let mut state = bootstrapped_state();
-    apply(&mut state, 2, put(1, workspaces(&[("a", &["k1"])])));
+    apply(
+        &mut state,
+        2,
+        put_workspaces(1, workspaces(&[("a", &["k1"])])),
+    );
     assert_eq!(state.encode()[0], 3);
-    apply(&mut state, 3, put(2, WorkspaceTable::default()));
+    apply(&mut state, 3, put_workspaces(2, WorkspaceTable::default()));
     assert_eq!(state.encode()[0], 3);
 }
 
@@ -177,7 +170,11 @@
 #[test]
 fn audit_trail_shows_no_keys() {
     let mut state = bootstrapped_state();
-    apply(&mut state, 2, put(1, workspaces(&[("a", &["secret-key"])])));
+    apply(
+        &mut state,
+        2,
+        put_workspaces(1, workspaces(&[("a", &["secret-key"])])),
+    );
     let text = format!("{:?}", state.audit(0, 10));
     assert!(!text.contains("secret-key"), "{text}");
     assert!(text.contains("KeyDigest"), "{text}");
