--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -30,7 +30,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 /// Maximum duration of a graceful stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -106,6 +106,7 @@
             peers: Rc::clone(&peers),
             published: Rc::clone(&published),
             clock: Arc::clone(&clock),
+            limits_changed: Notify::new(),
         });
         let service = Rc::new(ReplicaService {
             replica: replica.clone(),
--- a/crates/control/src/usage_exchange.rs
+++ b/crates/control/src/usage_exchange.rs
@@ -10,12 +10,15 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
+use tokio::sync::Notify;
 
 /// Sums up the usage that entries report and exchanges the sums with the other replicas.
 pub(crate) struct UsageExchange {
     pub(crate) peers: Rc<Peers>,
     pub(crate) published: Rc<PublishedState>,
     pub(crate) clock: Arc<dyn Clock>,
+    /// Wakes the task that sends sums, ahead of its interval.
+    pub(crate) limits_changed: Notify,
 }
 
 impl UsageExchange {
@@ -50,6 +53,7 @@
                 let state = self.published.state.borrow();
                 let workspaces = &state.config().routes.workspaces;
                 (self.published.usage()).set_limits(self.clock.now(), workspaces);
+                self.limits_changed.notify_one();
             }
             // The sender lives as long as the replica.
             if version.changed().await.is_err() {
@@ -58,12 +62,14 @@
         }
     }
 
-    /// Sends the sums of this replica to the others until the future is dropped. A replica that has not
-    /// answered yet is left out, so that it does not delay the others.
+    /// Sends the sums of this replica to the others until the future is dropped, also right after a new
+    /// configuration: a replica that has just started knows no levels until it has heard from another one. A
+    /// replica that has not answered yet is left out, so that it does not delay the others.
     pub(crate) async fn send_usage(self: Rc<Self>) {
         let unanswered: Rc<RefCell<BTreeSet<ReplicaId>>> = Rc::default();
         loop {
-            tokio::time::sleep(USAGE_INTERVAL).await;
+            // The sums are sent whether the interval ended or the limits changed.
+            let _ = tokio::time::timeout(USAGE_INTERVAL, self.limits_changed.notified()).await;
             let message: Rc<[u8]> = match &*self.published.usage() {
                 usage if usage.has_limits() => usage.peer_usage(self.clock.now()).encode().into(),
                 _ => continue,
