--- a/crates/state/tests/state/workspaces.rs
+++ b/crates/state/tests/state/workspaces.rs
@@ -39,8 +39,9 @@
         kind,
     };
     // Commands are encoded in the log; a field that is not encoded must not have an effect.
-    let bytes = postcard::to_stdvec(&command).unwrap();
-    state.apply(index, &postcard::from_bytes(&bytes).unwrap())
+    let bytes = postcard::to_stdvec(&command).expect("commands can be encoded");
+    let decoded = postcard::from_bytes(&bytes).expect("commands can be decoded");
+    state.apply(index, &decoded)
 }
 
 fn bootstrapped_state() -> State {
