--- a/crates/control/src/usage_exchange.rs
+++ b/crates/control/src/usage_exchange.rs
@@ -4,7 +4,7 @@
 use crate::published_state::PublishedState;
 use mangospindle_allowance::{MessageError, PeerUsage, UsageReport};
 use mangospindle_consensus::ReplicaId;
-use mangospindle_fleet::timing::USAGE_INTERVAL;
+use mangospindle_fleet::timing::PEER_USAGE_INTERVAL;
 use mangospindle_model::Clock;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -69,7 +69,7 @@
         let unanswered: Rc<RefCell<BTreeSet<ReplicaId>>> = Rc::default();
         loop {
             // The sums are sent whether the interval ended or the limits changed.
-            let _ = tokio::time::timeout(USAGE_INTERVAL, self.limits_changed.notified()).await;
+            let _ = tokio::time::timeout(PEER_USAGE_INTERVAL, self.limits_changed.notified()).await;
             let message: Rc<[u8]> = match &*self.published.usage() {
                 usage if usage.has_limits() => usage.peer_usage(self.clock.now()).encode().into(),
                 _ => continue,
