--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -34,7 +34,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 /// Maximum duration of a graceful stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -115,6 +115,7 @@
             peers: Rc::clone(&peers),
             published: Rc::clone(&published),
             clock: Arc::clone(&clock),
+            limits_changed: Notify::new(),
         });
         let reports = Rc::new(ReportExchange {
             peers: Rc::clone(&peers),
