--- a/crates/emulator/src/allowance/simulation.rs
+++ b/crates/emulator/src/allowance/simulation.rs
@@ -279,16 +279,20 @@
         if self.rng.random_range(0.0..1.0) >= fraction {
             return;
         }
-        let alive = (entry..self.entries.len()).chain(0..entry);
-        let alive: Vec<usize> = alive.filter(|n| self.entries[*n].is_alive).collect();
         let entry = match self.entries[entry].is_alive {
             true => entry,
-            false => alive[self.rng.random_range(0..alive.len())],
+            false => self.random_live_entry(),
         };
         let event = EntryEvent::Request { workspace };
         self.schedule_at_entry(Duration::ZERO, entry, event);
     }
 
+    fn random_live_entry(&mut self) -> usize {
+        let live = |n: &usize| self.entries[*n].is_alive;
+        let live: Vec<usize> = (0..self.entries.len()).filter(live).collect();
+        live[self.rng.random_range(0..live.len())]
+    }
+
     fn decide(&mut self, entry: usize, workspace: usize) {
         let limiter = &mut self.entries[entry].limiter;
         match limiter.admit(self.now, &name(workspace)) {
--- a/crates/emulator/src/bin/mangospindle-experiment.rs
+++ b/crates/emulator/src/bin/mangospindle-experiment.rs
@@ -1,7 +1,10 @@
 //! Compares dispatch policies under the same scenario and seed.
 
 use bpaf::{OptionParser, Parser, construct, long};
-use mangospindle_emulator::{Policy, RequestClass, Scenario, Service, plot_svg, run};
+use mangospindle_emulator::{
+    AllowanceComparison, AllowanceDesign, AllowanceLoad, Policy, RequestClass, Scenario, Service,
+    plot_svg, run,
+};
 use miette::{IntoDiagnostic, Result};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -11,6 +14,7 @@
     load: f64,
     scale: usize,
     plot: Option<PathBuf>,
+    allowances: Option<usize>,
 }
 
 fn options() -> OptionParser<Options> {
@@ -27,18 +31,38 @@
         .help("Write a plot to this file")
         .argument::<PathBuf>("FILE.svg")
         .optional();
+    let allowances = long("allowances")
+        .help(
+            "Compare designs of allowances with this number of entries instead; uses only the seed",
+        )
+        .argument("ENTRIES")
+        .optional();
     construct!(Options {
         seed,
         load,
         scale,
-        plot
+        plot,
+        allowances
     })
     .to_options()
     .descr("Plays three regions under each policy and prints what callers get")
 }
 
+fn compare_allowances(entries: usize, seed: u64) {
+    println!("{}", AllowanceComparison::HEADER);
+    for load in AllowanceLoad::ALL {
+        for design in AllowanceDesign::ALL {
+            println!("{}", AllowanceComparison::run(entries, load, design, seed));
+        }
+    }
+}
+
 fn main() -> Result<()> {
     let options = options().run();
+    if let Some(entries) = options.allowances {
+        compare_allowances(entries, options.seed);
+        return Ok(());
+    }
     let service = Service {
         name: "views".to_string(),
         endpoints: vec![1, 2, 3, 1, 2, 3],
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -18,8 +18,8 @@
 mod simulation;
 
 pub use allowance::{
-    AllowanceChange, AllowanceDesign, AllowanceReport, AllowanceScenario, Rejection, WorkspaceLoad,
-    WorkspaceReport, run_allowances,
+    AllowanceChange, AllowanceComparison, AllowanceDesign, AllowanceLoad, AllowanceReport,
+    AllowanceScenario, Rejection, WorkspaceLoad, WorkspaceReport, run_allowances,
 };
 pub use plot::plot_svg;
 pub use policy::Policy;
