Assume that silent replicas use their part of an allowance

Change: a replica that has been silent for 600 ms is assumed to see demand grow like the own one, and its part of the rate does not refill the level. At a level of zero entries keep a phase of a token each.

--- a/crates/allowance/src/limiter.rs
+++ b/crates/allowance/src/limiter.rs
@@ -8,6 +8,9 @@
 /// Maximum number of workspaces in a report, to bound its size. The others follow in the next one.
 const MAX_REPORTED: usize = 500;
 
+/// Number of different phases at which entries collect tokens.
+const PHASES: u64 = 1024;
+
 /// Admits the requests of an entry within its share of each allowance.
 #[derive(Debug)]
 pub struct AllowanceLimiter {
@@ -38,6 +41,7 @@
 
     /// Applies the allowances of a configuration.
     pub fn set_limits(&mut self, now: Duration, table: &WorkspaceTable) {
+        let phase = (self.incarnation % PHASES) as f64 / PHASES as f64;
         let limit_of = |name: &String| table.workspaces.get(name)?.allowance;
         self.workspaces.retain(|name, _| limit_of(name).is_some());
         for (name, workspace) in &table.workspaces {
@@ -47,7 +51,7 @@
             match self.workspaces.get_mut(name) {
                 Some(local) => local.set_limit(now, limit),
                 None => {
-                    let local = LocalAllowance::new(now, limit);
+                    let local = LocalAllowance::new(now, limit, phase);
                     self.workspaces.insert(name.clone(), local);
                 }
             }
--- a/crates/allowance/src/local_allowance.rs
+++ b/crates/allowance/src/local_allowance.rs
@@ -43,6 +43,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LocalAllowance {
     limit: Allowance,
+    /// Tokens that this entry keeps at most while the deployment has none, from 0 to 1; differs between entries.
+    phase: f64,
     /// Share of the allowance that this entry may use, from 0 to 1.
     share: f64,
     /// Requests that can be admitted at once.
@@ -73,9 +75,10 @@
 }
 
 impl LocalAllowance {
-    pub(crate) fn new(now: Duration, limit: Allowance) -> Self {
+    pub(crate) fn new(now: Duration, limit: Allowance, phase: f64) -> Self {
         let mut local = LocalAllowance {
             limit,
+            phase,
             share: INITIAL_SHARE,
             tokens: 0.0,
             updated_at: now,
@@ -201,7 +204,8 @@
             // All entries together keep no more tokens than the deployment has left, but each may collect
             // one. Otherwise an allowance with a burst below the number of entries would be blocked.
             false if level > 0.0 => self.capacity().min((level * self.share).max(1.0)),
-            false => 0.0,
+            // Entries that all started over would collect their next token at the same time, after long.
+            false => self.phase,
         };
         self.tokens = self.tokens.min(usable);
     }
--- a/crates/allowance/src/usage_table.rs
+++ b/crates/allowance/src/usage_table.rs
@@ -163,10 +163,14 @@
         })
     }
 
+    /// Brings the refill of all workspaces and the list of the short ones up to date.
     fn update_short(&mut self, now: Duration) {
         if now < self.short.0 + SHORT_INTERVAL {
             return;
         }
+        for state in self.workspaces.values_mut() {
+            state.update_refill(now, &self.peers);
+        }
         let workspaces = self.workspaces.iter();
         let short = workspaces.filter(|(_, w)| w.is_short(now, &self.peers));
         self.short = (now, short.map(|(name, _)| name.clone()).collect());
--- a/crates/allowance/src/workspace_state.rs
+++ b/crates/allowance/src/workspace_state.rs
@@ -12,9 +12,10 @@
 /// Time constant with which it decays afterwards.
 const PEER_DECAY: Duration = Duration::from_secs(3);
 
-/// Longest time between two messages of another replica for which all that its entries admitted is charged.
-/// The refill of a longer time is lost to the level, so that charging all would block the workspace.
-const PEER_CHARGE_LIFETIME: Duration = Duration::from_secs(2);
+/// Time without a message of another replica after which its entries are assumed to use their part of the
+/// allowance, with a demand that grows like the own one. Otherwise both halves of a partition would give most of
+/// the allowance to a rise that both see.
+const PEER_SILENCE: Duration = Duration::from_millis(600);
 
 /// Offered rate below which a workspace is not in use.
 const MIN_OFFERED_RATE: f64 = 0.001;
@@ -33,9 +34,30 @@
 struct KnownPeer {
     admitted: i64,
     offered_rate: f64,
+    /// Requests per second at the entries of this replica at that time.
+    own_offered_rate: f64,
     told_at: Duration,
 }
 
+impl KnownPeer {
+    fn is_silent(&self, now: Duration) -> bool {
+        now > self.told_at + PEER_SILENCE
+    }
+
+    /// Requests per second that are assumed at the entries of the other replica, if this one has `own`.
+    fn assumed_rate(&self, now: Duration, own: f64) -> f64 {
+        let growth = match self.is_silent(now) {
+            // Estimates below one request per second vary too much for a ratio.
+            true => (own / self.own_offered_rate.max(1.0)).max(1.0),
+            false => 1.0,
+        };
+        let age = now.saturating_sub(self.told_at);
+        let overdue = age.saturating_sub(PEER_RETENTION).as_secs_f64();
+        let weight = (-overdue / PEER_DECAY.as_secs_f64()).exp();
+        self.offered_rate * growth * weight
+    }
+}
+
 /// Usage of one workspace in the whole deployment, as far as a replica knows.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkspaceState {
@@ -43,6 +65,8 @@
     /// Requests that can be admitted at once by all entries together; negative if too many were.
     level: f64,
     level_at: Duration,
+    /// Part of the rate that refills the level; the rest is assumed to be used at replicas that are silent.
+    refill_fraction: f64,
     /// Requests that entries reported to this replica as admitted.
     admitted: i64,
     rejected: u64,
@@ -56,6 +80,7 @@
             limit,
             level: capacity(limit),
             level_at: now,
+            refill_fraction: 1.0,
             admitted: 0,
             rejected: 0,
             entries: BTreeMap::new(),
@@ -130,12 +155,14 @@
             (None, None) => row.admitted,
         };
         let gap = now.saturating_sub(heard_at.unwrap_or(now));
-        let fraction = PEER_CHARGE_LIFETIME.div_duration_f64(gap.max(PEER_CHARGE_LIFETIME));
+        // What was admitted later was assumed already.
+        let fraction = PEER_SILENCE.div_duration_f64(gap.max(PEER_SILENCE));
         let admitted = row.admitted.saturating_sub(counted) as f64;
         self.charge(now, admitted * fraction);
         let known = KnownPeer {
             admitted: row.admitted,
             offered_rate: valid_rate(row.offered_rate),
+            own_offered_rate: self.own_offered_rate(now),
             told_at: now,
         };
         self.peers.insert(replica, known);
@@ -144,7 +171,7 @@
     /// Level of the token bucket at `now`.
     pub(crate) fn level(&self, now: Duration) -> f64 {
         let elapsed = now.saturating_sub(self.level_at).as_secs_f64();
-        (self.level + elapsed * self.limit.rate).min(capacity(self.limit))
+        (self.level + elapsed * self.limit.rate * self.refill_fraction).min(capacity(self.limit))
     }
 
     /// Requests per second at the entries that report to this replica.
@@ -155,13 +182,32 @@
 
     /// Requests per second at all entries.
     pub(crate) fn offered_rate(&self, now: Duration, peers: &BTreeMap<u64, Peer>) -> f64 {
-        let told = self.peers.iter().filter_map(|(replica, known)| {
+        let own = self.own_offered_rate(now);
+        let known = self.known_peers(peers);
+        own + known.map(|k| k.assumed_rate(now, own)).sum::<f64>()
+    }
+
+    /// Reduces the refill by the part of the demand that is assumed at silent replicas.
+    pub(crate) fn update_refill(&mut self, now: Duration, peers: &BTreeMap<u64, Peer>) {
+        let own = self.own_offered_rate(now);
+        let silent = self.known_peers(peers).filter(|k| k.is_silent(now));
+        let assumed: f64 = silent.map(|k| k.assumed_rate(now, own)).sum();
+        let total = self.offered_rate(now, peers);
+        self.charge(now, 0.0);
+        self.refill_fraction = match assumed > 0.0 {
+            true => 1.0 - assumed / total,
+            false => 1.0,
+        };
+    }
+
+    /// What other replicas told in their last messages. A message without the workspace says that it is not in
+    /// use there any more.
+    fn known_peers(&self, peers: &BTreeMap<u64, Peer>) -> impl Iterator<Item = &KnownPeer> {
+        let known = self.peers.iter();
+        known.filter_map(|(replica, known)| {
             let peer = peers.get(replica)?;
-            // A message without the workspace says that it is not in use there any more.
-            (known.told_at >= peer.heard_at)
-                .then(|| known.offered_rate * peer_weight(now, peer.heard_at))
-        });
-        self.own_offered_rate(now) + told.sum::<f64>()
+            (known.told_at >= peer.heard_at).then_some(known)
+        })
     }
 
     /// Whether entries should be told the totals even if they have no requests of the workspace.
@@ -182,13 +228,6 @@
     }
 }
 
-/// Weight of the demand that another replica told, by the time since its last message.
-fn peer_weight(now: Duration, heard_at: Duration) -> f64 {
-    let age = now.saturating_sub(heard_at);
-    let overdue = age.saturating_sub(PEER_RETENTION).as_secs_f64();
-    (-overdue / PEER_DECAY.as_secs_f64()).exp()
-}
-
 /// A rate of a message; zero if it is not a number that can be one.
 fn valid_rate(rate: f32) -> f64 {
     match rate.is_finite() && rate > 0.0 {
