--- a/crates/control/src/operator_handle.rs
+++ b/crates/control/src/operator_handle.rs
@@ -1,4 +1,4 @@
-use crate::admin::AdminBackend;
+use crate::admin::{AdminBackend, AdminContext, Tokens};
 use crate::backend::ReplicaBackend;
 use crate::order_origin::OrderOrigin;
 use mangospindle_fleet::{CallerLocation, EntryLookup, Fleet};
@@ -37,13 +37,26 @@
         }
     }
 
+    /// Returns the context of a listener that serves operations of the administration API.
+    pub fn admin_context(&self, tokens: Tokens) -> AdminContext {
+        AdminContext::new(Arc::clone(&self.backend) as Arc<dyn AdminBackend>, tokens)
+    }
+
     /// Replaces the route table. Completes once a majority has synced the change.
     ///
     /// Returns an error if the change was rejected, or if its outcome is not known.
-    pub async fn put_routes(&self, table: RouteTable, document: String) -> Result<(), Problem> {
+    pub async fn put_routes(&self, mut table: RouteTable, document: String) -> Result<(), Problem> {
         let subject = format!("routes-{}", table.number);
+        let workspaces = Box::new(std::mem::take(&mut table.workspaces));
         let table = Box::new(table);
-        let kind = CommandKind::PutRoutes { table, document };
+        let kind = match workspaces.is_empty() {
+            true => CommandKind::PutRoutes { table, document },
+            false => CommandKind::PutRoutesAndWorkspaces {
+                table,
+                workspaces,
+                document,
+            },
+        };
         let origin = self.order_origin(None);
         self.propose_change(subject, kind, origin).await
     }
--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -12,24 +12,29 @@
 use crate::published_state::PublishedState;
 use crate::replica::messages::{DiskDone, Stop};
 use crate::replica::{Parts, Replica};
+use crate::report_catch_up::ReportFetcher;
 use crate::report_exchange::ReportExchange;
 use crate::service::ReplicaService;
+use crate::usage_exchange::UsageExchange;
+use crate::usage_metrics::UsageMetrics;
+use crate::usage_reader::UsageReader;
 use crate::vm_list::poll_vm_list;
 use crate::wall_clock::SystemWallClock;
 use actix::{Addr, AsyncContext, Context};
-use mangospindle_consensus::{Member, Node, NodeSettings, ReplicaId, Timing};
-use mangospindle_fleet::PollSchedule;
+use mangospindle_consensus::{Member, Node, NodeSettings, RecoveredState, ReplicaId, Timing};
+use mangospindle_fleet::{PollSchedule, ReplicaStart, ReportCatchUp};
 use mangospindle_model::Clock;
 use mangospindle_rpc::{TrafficCounters, serve};
 use mangospindle_storage::Wal;
 use mangospindle_telemetry::event;
 use miette::{IntoDiagnostic, Result, WrapErr};
 use prometheus::Registry;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 /// Maximum duration of a graceful stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -42,6 +47,7 @@
     replica: Addr<Replica>,
     published: Rc<PublishedState>,
     registry: Registry,
+    usage: UsageReader,
     local: ReplicaId,
 }
 
@@ -59,6 +65,7 @@
             audit_file,
         } = open_disk(&options.data_dir).into_diagnostic()?;
         let snapshot = recovered.snapshot.as_ref().map(|s| (s.index, s.data.len()));
+        let catch_up = ReportCatchUp::new(replica_start(&recovered));
         let settings = node_settings(&options, &wal);
         let node = Node::new(settings, recovered, rand::random(), clock.now())
             .into_diagnostic()
@@ -70,7 +77,10 @@
         let registry = Registry::new();
         let peer_counters = TrafficCounters::default();
         let server_counters = TrafficCounters::default();
-        let published = PublishedState::new(state);
+        let published = PublishedState::new(state, options.replica);
+        let usage_reader = UsageReader::new(published.shared_usage(), Arc::clone(&clock));
+        let usage_metrics = UsageMetrics::new(usage_reader.clone()).into_diagnostic()?;
+        (registry.register(Box::new(usage_metrics))).into_diagnostic()?;
         let replicas = options.replicas.clone();
         let local = options.replica;
         let peers = Peers::new(
@@ -101,19 +111,32 @@
             snapshot,
         };
         cx.run(Replica::new(parts));
+        let usage = Rc::new(UsageExchange {
+            peers: Rc::clone(&peers),
+            published: Rc::clone(&published),
+            clock: Arc::clone(&clock),
+            limits_changed: Notify::new(),
+        });
+        let reports = Rc::new(ReportExchange {
+            peers: Rc::clone(&peers),
+            published: Rc::clone(&published),
+            clock: Arc::clone(&clock),
+            catch_up: RefCell::new(catch_up),
+        });
+        let fetcher = ReportFetcher::new(Rc::clone(&reports), local);
         let service = Rc::new(ReplicaService {
             replica: replica.clone(),
             published: Rc::clone(&published),
             replicas: replicas.clone(),
-            reports: Rc::new(ReportExchange {
-                peers: Rc::clone(&peers),
-                published: Rc::clone(&published),
-                clock: Arc::clone(&clock),
-            }),
+            reports,
+            usage: Rc::clone(&usage),
             clock: Arc::clone(&clock),
         });
+        tokio::task::spawn_local(Rc::clone(&usage).follow_limits());
+        tokio::task::spawn_local(usage.send_usage());
         let server = serve(listener, service, Arc::clone(&clock), server_counters);
         tokio::task::spawn_local(server);
+        tokio::task::spawn_local(fetcher.run());
         if let ReplicaSet::Open { .. } = replicas {
             let exchange = Rc::new(ViewExchange {
                 peers,
@@ -128,6 +151,7 @@
             replica,
             published,
             registry,
+            usage: usage_reader,
             local,
         })
     }
@@ -168,6 +192,7 @@
                 applied_index: Arc::clone(&self.published.applied_index),
             },
             registry: self.registry.clone(),
+            usage: self.usage.clone(),
         })
     }
 
@@ -178,6 +203,13 @@
     }
 }
 
+fn replica_start(recovered: &RecoveredState) -> ReplicaStart {
+    match *recovered == RecoveredState::default() {
+        true => ReplicaStart::First,
+        false => ReplicaStart::Restart,
+    }
+}
+
 /// Settings of the consensus node of a replica.
 pub(crate) fn node_settings(options: &ReplicaOptions, wal: &Wal) -> NodeSettings {
     NodeSettings {
--- a/crates/fleet/src/restart_reports.rs
+++ b/crates/fleet/src/restart_reports.rs
@@ -1,9 +1,9 @@
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Time for which a report is kept for entries that have just started or lost their replica. Longer than a
 /// cold start.
-const RETENTION: Duration = Duration::from_secs(10);
+pub(crate) const RETENTION: Duration = Duration::from_secs(10);
 
 /// Time after a report of an endpoint within which a further one tells nothing new. The connections that an
 /// endpoint loses at its end are noticed by many entries at about the same time.
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Records reports and returns those that tell something new.
+    /// Records the reports of a request and returns those that tell something new.
     pub fn record<I>(&mut self, now: Duration, instances: I) -> Vec<String>
     where
         I: IntoIterator<Item = String>,
@@ -70,20 +70,40 @@
             if instance.len() > MAX_INSTANCE_BYTES || self.is_repeated(now, &instance) {
                 continue;
             }
-            self.position.count += 1;
             new.push(instance.clone());
-            self.recent.push_back(Report {
-                number: self.position.count,
-                instance,
-                at: now,
-            });
-            if self.recent.len() > MAX_REPORTS {
-                self.recent.pop_front();
-            }
+            self.push(now, instance);
         }
         new
     }
 
+    /// Records the recent reports that another replica holds. They are kept as if they were made now, which
+    /// is too long by their age. Instances with a recent report are left out; otherwise replicas that fetch
+    /// from each other would renew their reports.
+    pub fn merge<I>(&mut self, now: Duration, instances: I)
+    where
+        I: IntoIterator<Item = String>,
+    {
+        self.expire(now);
+        let mut known: BTreeSet<String> = self.recent.iter().map(|r| r.instance.clone()).collect();
+        for instance in instances.into_iter().take(MAX_REPORTS) {
+            if instance.len() <= MAX_INSTANCE_BYTES && known.insert(instance.clone()) {
+                self.push(now, instance);
+            }
+        }
+    }
+
+    fn push(&mut self, now: Duration, instance: String) {
+        self.position.count += 1;
+        self.recent.push_back(Report {
+            number: self.position.count,
+            instance,
+            at: now,
+        });
+        if self.recent.len() > MAX_REPORTS {
+            self.recent.pop_front();
+        }
+    }
+
     /// The position after the latest report.
     pub fn position(&self) -> ReportPosition {
         self.position
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //!
 //! [`Dispatcher`]: mangospindle_dispatch::Dispatcher
 
+mod access;
 mod attempt;
 mod connect;
 mod connection;
@@ -39,8 +40,9 @@
 mod restart_reports;
 mod send_guard;
 mod settings;
+mod usage_exchange;
 mod writer;
 
 pub use gateway::Gateway;
-pub use protocol::{Protocol, RequestMetadata, ResponseMetadata};
+pub use protocol::{Credentials, Protocol, RequestMetadata, ResponseMetadata};
 pub use settings::GatewaySettings;
--- a/crates/model/src/route_table.rs
+++ b/crates/model/src/route_table.rs
@@ -5,13 +5,16 @@
 mod request_limits;
 mod route;
 mod route_error;
+mod table_error;
 
 pub use change::RouteTableChange;
 pub use endpoint_service::EndpointService;
 pub use request_limits::RequestLimits;
 pub use route::{Route, RouteKey, RouteTarget};
 pub use route_error::{RouteError, RouteFault};
+pub use table_error::RouteTableError;
 
+use crate::WorkspaceTable;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,11 +29,15 @@
     pub limits: RequestLimits,
     /// Routes by host and path prefix.
     pub routes: BTreeMap<RouteKey, Route>,
+    /// Workspaces. They are encoded beside the table, because earlier builds cannot read a table with
+    /// further fields.
+    #[serde(skip)]
+    pub workspaces: WorkspaceTable,
 }
 
 impl RouteTable {
     /// Checks what the code that uses the table relies on.
-    pub fn validate(&self) -> Result<(), RouteError> {
+    pub fn validate(&self) -> Result<(), RouteTableError> {
         for (key, route) in &self.routes {
             route.validate(&self.services).map_err(|fault| RouteError {
                 host: key.host.clone(),
@@ -38,6 +45,7 @@
                 fault,
             })?;
         }
+        self.workspaces.validate()?;
         Ok(())
     }
 
@@ -54,7 +62,7 @@
         })
     }
 
-    /// What turns this table into `next`.
+    /// What turns this table into `next`, without its workspaces.
     pub fn change_to(&self, next: &RouteTable) -> RouteTableChange {
         let changed = |(key, route): &(&RouteKey, &Route)| self.routes.get(*key) != Some(*route);
         RouteTableChange {
@@ -72,7 +80,7 @@
         }
     }
 
-    /// Applies a change.
+    /// Applies a change. The workspaces stay as they are.
     pub fn apply(&mut self, change: &RouteTableChange) {
         self.number = change.number;
         if let Some(services) = &change.services {
--- a/crates/model/src/route_table/change.rs
+++ b/crates/model/src/route_table/change.rs
@@ -2,7 +2,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The difference between two tables; much smaller than a table when few routes change.
+/// The difference between two tables, without their workspaces; much smaller than a table when few
+/// routes change.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteTableChange {
     /// Number of the table after the change.
