--- a/crates/allowance/src/limiter.rs
+++ b/crates/allowance/src/limiter.rs
@@ -1,5 +1,4 @@
 use crate::local_allowance::LocalAllowance;
-use crate::usage_table::MAX_SHORT_IN_REPLY;
 use crate::{EntryUsage, UsageReply, UsageReport};
 use mangospindle_model::WorkspaceTable;
 use std::collections::BTreeMap;
@@ -22,6 +21,8 @@
     workspaces: BTreeMap<String, LocalAllowance>,
     /// Time of the last reply that contained all short workspaces.
     listed_at: Option<Duration>,
+    /// Name of the last workspace in a report that had no room for all of them; empty otherwise.
+    last_reported: String,
     /// Whether a request was decided on a share that may be out of date.
     wants_report: bool,
 }
@@ -35,6 +36,7 @@
             entries: None,
             workspaces: BTreeMap::new(),
             listed_at: None,
+            last_reported: String::new(),
             wants_report: false,
         }
     }
@@ -92,9 +94,13 @@
         self.wants_report
     }
 
-    /// The report to send now: the workspaces with requests that no replica has acknowledged.
+    /// The report to send now: the workspaces with requests that no replica has acknowledged. If there are
+    /// too many for one report, those after the last one of the acknowledged report come first.
     pub fn report(&self, now: Duration) -> UsageReport {
-        let unreported = self.workspaces.iter().filter(|(_, w)| w.is_unreported());
+        let last = &self.last_reported;
+        let following = self.workspaces.iter().filter(|(name, _)| *name > last);
+        let others = self.workspaces.iter().filter(|(name, _)| *name <= last);
+        let unreported = following.chain(others).filter(|(_, w)| w.is_unreported());
         let workspaces = unreported.map(|(name, local)| EntryUsage {
             workspace: name.clone(),
             ..local.usage(now)
@@ -110,6 +116,10 @@
     pub fn apply_reply(&mut self, now: Duration, report: &UsageReport, reply: &UsageReply) {
         self.wants_report = false;
         self.entries = Some(reply.entries.max(1));
+        self.last_reported = match report.workspaces.last() {
+            Some(usage) if report.workspaces.len() >= MAX_REPORTED => usage.workspace.clone(),
+            _ => String::new(),
+        };
         let mut reported_rates = BTreeMap::new();
         for usage in &report.workspaces {
             reported_rates.insert(usage.workspace.as_str(), f64::from(usage.offered_rate));
@@ -117,8 +127,7 @@
                 local.acknowledge(usage);
             }
         }
-        let has_levels = reply.workspaces.iter().all(|total| total.level.is_some());
-        if has_levels && reply.workspaces.len() < MAX_SHORT_IN_REPLY {
+        if reply.is_complete {
             self.listed_at = Some(now);
         }
         for total in &reply.workspaces {
--- a/crates/allowance/src/local_allowance.rs
+++ b/crates/allowance/src/local_allowance.rs
@@ -61,7 +61,7 @@
     backlog: f64,
     /// When the last reply with a level was applied.
     replied_at: Option<Duration>,
-    /// Whether the level was comfortable in the last reply.
+    /// Whether the workspace was not short in the last reply.
     has_room: bool,
     /// Time of the last reply that says or implies `has_room`.
     room_at: Option<Duration>,
--- a/crates/allowance/src/message.rs
+++ b/crates/allowance/src/message.rs
@@ -58,6 +58,8 @@
 pub struct UsageReply {
     /// Number of live entries in the deployment.
     pub entries: u32,
+    /// Whether the replica knows the levels and lists all short workspaces.
+    pub is_complete: bool,
     /// The reported workspaces and those that are short.
     pub workspaces: Vec<WorkspaceTotal>,
 }
--- a/crates/allowance/src/offered_rate.rs
+++ b/crates/allowance/src/offered_rate.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-/// Time constant of the estimate. Shares move within about this time; a shorter one would let them follow
-/// the chance of single requests.
+/// Time constant of the estimate. Shares move within about this time; with a shorter one they would
+/// fluctuate with single requests.
 const TIME_CONSTANT: Duration = Duration::from_secs(1);
 
 /// Exponentially weighted estimate of a rate of requests.
--- a/crates/allowance/src/usage_table.rs
+++ b/crates/allowance/src/usage_table.rs
@@ -105,6 +105,7 @@
         let names = reported.chain(short.take(MAX_SHORT_IN_REPLY));
         UsageReply {
             entries,
+            is_complete: self.knows_totals(now) && self.short.1.len() <= MAX_SHORT_IN_REPLY,
             workspaces: names.filter_map(|name| self.total(now, name)).collect(),
         }
     }
--- a/crates/allowance/src/workspace_state.rs
+++ b/crates/allowance/src/workspace_state.rs
@@ -158,7 +158,12 @@
         // What was admitted later was assumed already.
         let fraction = PEER_SILENCE.div_duration_f64(gap.max(PEER_SILENCE));
         let admitted = row.admitted.saturating_sub(counted) as f64;
-        self.charge(now, admitted * fraction);
+        // The count of a replica starts over if it lost and regained the allowance. Refunds alone take back
+        // little.
+        let is_new_count = admitted < -capacity(self.limit);
+        if !is_new_count {
+            self.charge(now, admitted * fraction);
+        }
         let known = KnownPeer {
             admitted: row.admitted,
             offered_rate: valid_rate(row.offered_rate),
--- a/crates/allowance/tests/messages.rs
+++ b/crates/allowance/tests/messages.rs
@@ -53,6 +53,7 @@
 fn reply(offered_rate: f32, level: Option<f32>) -> UsageReply {
     UsageReply {
         entries: 3,
+        is_complete: true,
         workspaces: vec![WorkspaceTotal {
             workspace: WORKSPACE.to_string(),
             offered_rate,
--- a/crates/control/src/usage_exchange.rs
+++ b/crates/control/src/usage_exchange.rs
@@ -63,8 +63,8 @@
     }
 
     /// Sends the sums of this replica to the others until the future is dropped, also right after a new
-    /// configuration: a replica that has just started knows no levels until it has heard from another one. A
-    /// replica that has not answered yet is left out, so that it does not delay the others.
+    /// configuration: a replica that has just started knows no levels until it has heard from another one. At
+    /// most one message to each replica is unanswered.
     pub(crate) async fn send_usage(self: Rc<Self>) {
         let unanswered: Rc<RefCell<BTreeSet<ReplicaId>>> = Rc::default();
         loop {
--- a/crates/control/src/usage_metrics.rs
+++ b/crates/control/src/usage_metrics.rs
@@ -26,7 +26,7 @@
             short: IntGauge::new(
                 "mangospindle_control_workspaces_short",
                 "Workspaces whose token bucket is less than half full, or whose offered rate is above \
-                 their rate.",
+                 their rate by more than chance.",
             )?,
             rejected: IntCounter::new(
                 "mangospindle_control_workspace_rejections_total",
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -14,8 +14,8 @@
     pub idempotent: bool,
     /// Priority of the route; 0 is the highest.
     pub priority: u32,
-    /// Priority of the workspace, which goes before that of the route; `None` if the request belongs to no
-    /// workspace.
+    /// Priority of the workspace; `None` if the request belongs to no workspace. It limits the expected wait,
+    /// and that of the route the expected latency.
     pub workspace_priority: Option<u32>,
     /// Time left until the caller's deadline.
     pub time_left: Duration,
--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -14,9 +14,11 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
+/// Name of [`RELAYED_WORKSPACE`].
+pub(crate) const RELAYED_WORKSPACE_NAME: &str = "x-mangospindle-workspace";
+
 /// Header of a relayed request with the name of its workspace, in place of the key.
-pub(crate) const RELAYED_WORKSPACE: HeaderName =
-    HeaderName::from_static("x-mangospindle-workspace");
+pub(crate) const RELAYED_WORKSPACE: HeaderName = HeaderName::from_static(RELAYED_WORKSPACE_NAME);
 
 /// Keys and allowances of the workspaces in force.
 pub(crate) struct Workspaces {
@@ -251,7 +253,7 @@
             retry_after,
         } => {
             count("over_allowance");
-            event!(Info, "request_over_allowance", "request" => id, "route" => route.name,
+            event!(Debug, "request_over_allowance", "request" => id, "route" => route.name,
                 "workspace" => workspace,
                 "retry_after_ms" => retry_after.as_millis());
             let detail = "the workspace has used up its allowance";
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to an endpoint.
 
-use crate::access::Access;
+use crate::access::{Access, RELAYED_WORKSPACE_NAME};
 use crate::connect::ConnectError;
 use crate::connection_check::{NoConnection, check_later, connect_for_request, draw_later_check};
 use crate::connection_target::ConnectionTarget;
@@ -30,7 +30,7 @@
 
 /// Headers of a caller's request that are not forwarded, besides those of a connection. A caller cannot
 /// name a workspace for a relayed request.
-pub(crate) const DROPPED_HEADERS: &[&str] = &["host", "expect", "x-mangospindle-workspace"];
+pub(crate) const DROPPED_HEADERS: &[&str] = &["host", "expect", RELAYED_WORKSPACE_NAME];
 
 /// Result of an attempt.
 pub(crate) enum AttemptResult {
--- a/crates/gateway/src/control_sync.rs
+++ b/crates/gateway/src/control_sync.rs
@@ -36,6 +36,11 @@
             d.update_routes(now, routes, config.evacuated.clone());
             changed
         });
+        let current = gateway.routes().number;
+        if config.routes.number < current {
+            event!(Warn, "routes_ignored", "number" => config.routes.number, "current" => current,
+                "version" => config.version);
+        }
         if changed {
             (gateway.workspaces).update(gateway.now(), &config.routes.workspaces);
             let number = config.routes.number;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -80,7 +80,7 @@
         Ok(access) => access,
         Err(mut response) => {
             if origin == Origin::Entry {
-                mark_not_run(&mut response);
+                mark_not_run(&mut response, true);
             }
             return response;
         }
@@ -109,9 +109,7 @@
     refund(&gateway, &access, &response);
     if origin == Origin::Entry {
         mark_not_sent(&mut response, gateway.paths_lost());
-        if access.workspace.is_some() {
-            mark_not_run(&mut response);
-        }
+        mark_not_run(&mut response, access.workspace.is_some());
     }
     let elapsed = gateway.now().saturating_sub(arrived_at);
     let status = response.status.as_u16();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -149,11 +149,11 @@
     response
 }
 
-/// Marks the response to a request that was relayed for a workspace if the request has not run.
-pub(crate) fn mark_not_run(response: &mut Response) {
+/// Marks the response to a relayed request if the request has not run and belongs to a workspace.
+pub(crate) fn mark_not_run(response: &mut Response, has_workspace: bool) {
     // Endpoints cannot set the mark.
     response.headers.remove(NOT_RUN);
-    if response.not_run {
+    if response.not_run && has_workspace {
         let value = HeaderValue::from_static("1");
         response.headers.insert(NOT_RUN, value);
     }
@@ -223,9 +223,8 @@
 ) -> Response {
     let mut response = Response::from_endpoint(head, body);
     response.headers.remove(NOT_SENT);
-    if context.access.workspace.is_some() {
-        response.not_run = response.headers.remove(NOT_RUN).next().is_some();
-    }
+    let is_marked = response.headers.remove(NOT_RUN).next().is_some();
+    response.not_run = is_marked && context.access.workspace.is_some();
     response
 }
 
--- a/crates/model/src/workspace_table/workspace.rs
+++ b/crates/model/src/workspace_table/workspace.rs
@@ -7,7 +7,7 @@
 pub struct Workspace {
     /// Digests of its keys.
     pub keys: BTreeSet<KeyDigest>,
-    /// Rank of its requests, before that of their routes; 0 is the highest.
+    /// Rank of its requests; 0 is the highest.
     pub priority: u32,
     /// Requests that it may send; `None` if there is no limit.
     pub allowance: Option<Allowance>,
