--- a/review/tools-2/core_memory.rs
+++ b/review/tools-2/core_memory.rs
@@ -4,9 +4,7 @@
 #[path = "kit.rs"]
 mod kit;
 
-use kit::{
-    BROKEN, HELD, NOT_RUN, Platform, Record, call, config, finish, guard, route, without_trouble,
-};
+use kit::{BROKEN, HELD, NOT_RUN, Platform, Record, call, config, finish, guard, route, without_trouble};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -66,15 +64,8 @@
     (0..3).for_each(|n| platform.wait_until_served(n, "/views/x"));
     let names = ["core-0", "core-1", "core-2"];
     let kills = names.map(|name| platform.limit_memory(name, MEMORY_MIB, true));
-    let changes = if without_trouble() {
-        CALM_CHANGES
-    } else {
-        CHANGES
-    };
-    record.line(&format!(
-        "{changes} changes, {} bytes each",
-        document(1).len()
-    ));
+    let changes = if without_trouble() { CALM_CHANGES } else { CHANGES };
+    record.line(&format!("{changes} changes, {} bytes each", document(1).len()));
     let mut acknowledged = 1;
     let mut unacknowledged = 0;
     for version in 2..changes + 2 {
@@ -107,11 +98,7 @@
         for n in 0..3 {
             let answer = call(&platform.operator(n), "GET", "/v1/Config.Get", &[], "");
             let text = match &answer {
-                Ok(a) => format!(
-                    "{} {}",
-                    a.status,
-                    a.text().chars().take(60).collect::<String>()
-                ),
+                Ok(a) => format!("{} {}", a.status, a.text().chars().take(60).collect::<String>()),
                 Err(e) => format!("no answer ({e})"),
             };
             record.line(&format!("read back from core-{n}: {text}"));
--- a/review/tools-2/entry_uploads.rs
+++ b/review/tools-2/entry_uploads.rs
@@ -4,7 +4,7 @@
 #[path = "kit.rs"]
 mod kit;
 
-use kit::{BROKEN, Connection, HELD, NOT_RUN, Platform, Record, call_within, config, finish, guard, route, without_trouble};
+use kit::{NOT_RUN, Platform, Record, call_within, config, finish, guard, route, without_trouble};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -28,7 +28,10 @@
     guard(&record, Duration::from_secs(100));
     let platform = Platform::new(&record);
     platform.start_list();
-    let behaviour = |work_ms| kit::Behaviour { work: Duration::from_millis(work_ms), body_bytes: 400 };
+    let behaviour = |work_ms| kit::Behaviour {
+        work: Duration::from_millis(work_ms),
+        body_bytes: 400,
+    };
     for (domain, _) in kit::DOMAINS {
         for _ in 0..2 {
             platform.add_server("orders", domain, behaviour(400));
@@ -59,11 +62,14 @@
         .map(|client| {
             let (platform, lost, answered) = (platform.clone(), Arc::clone(&lost), Arc::clone(&answered));
             let stop = Arc::clone(&stop);
-            thread::spawn(move || send_orders(&platform, client, &stop, &lost, &answered))
+            thread::spawn(move || kit::send_orders(&platform, client, &stop, &lost, &answered))
         })
         .collect();
     thread::sleep(Duration::from_secs(2));
-    record.line(&format!("{UPLOADS} uploads of {UPLOAD_BYTES} bytes begin; memory {} MiB", platform.memory_mib("front-0")));
+    record.line(&format!(
+        "{UPLOADS} uploads of {UPLOAD_BYTES} bytes begin; memory {} MiB",
+        platform.memory_mib("front-0")
+    ));
     match without_trouble() {
         true => (0..UPLOADS).for_each(|n| upload(&platform, n)),
         false => {
@@ -80,55 +86,7 @@
     stop.store(true, Ordering::Relaxed);
     clients.into_iter().for_each(|c| c.join().expect("a client"));
 
-    let lost = lost.lock().unwrap();
-    let servers = platform.servers.lock().unwrap();
-    let runs: Vec<String> = servers.iter().flat_map(|s| s.runs.lock().unwrap().clone()).collect();
-    let passed_on: Vec<&String> = lost.iter().filter(|id| runs.contains(id)).collect();
-    record.line(&format!(
-        "orders answered {}, ended without an answer {}, of these passed on to a server {}; ends of the entry {}",
-        answered.load(Ordering::Relaxed),
-        lost.len(),
-        passed_on.len(),
-        kills.lock().unwrap().len()
-    ));
-    match passed_on.len() > MAX_LOST {
-        true => finish(&record, BROKEN, "LOST: more than three requests of kept connections were passed on and not answered"),
-        false => finish(&record, HELD, "all requests of kept connections were answered"),
-    }
-}
-
-/// Sends orders on a kept connection, one after the other, until it ends or `stop` is set.
-fn send_orders(platform: &Platform, client: usize, stop: &AtomicBool, lost: &Mutex<Vec<String>>, answered: &AtomicUsize) {
-    let Ok(mut connection) = Connection::open(&platform.entry(0), Duration::from_secs(5)) else {
-        return;
-    };
-    for n in 0.. {
-        if stop.load(Ordering::Relaxed) {
-            return;
-        }
-        let id = format!("order-{client}-{n}");
-        let key = (client * 100 + n).to_string();
-        let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "2500"), ("X-Affinity-Key", key.as_str())];
-        let sent = connection.send("POST", &format!("/orders/{client}/{n}"), &headers, b"{}");
-        let answer = sent.and_then(|()| connection.read_answer());
-        match answer {
-            Ok(a) => {
-                platform.record.note(&format!("{id}: {}", a.status));
-                answered.fetch_add(1, Ordering::Relaxed);
-                if a.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
-                    return;
-                }
-            }
-            Err(e) => {
-                platform.record.line(&format!("{id}: no answer ({e})"));
-                // The first request shows that the connection is kept.
-                if n > 0 {
-                    lost.lock().unwrap().push(id);
-                }
-                return;
-            }
-        }
-    }
+    kit::judge_lost(&platform, &lost, &answered, &kills, MAX_LOST);
 }
 
 fn upload(platform: &Platform, n: usize) {
@@ -136,7 +94,14 @@
     let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "6000")];
     let body = vec![b'p'; UPLOAD_BYTES];
     let path = format!("/uploads/{n}");
-    let answer = call_within(&platform.entry(0), "POST", &path, &headers, &body, Duration::from_secs(6));
+    let answer = call_within(
+        &platform.entry(0),
+        "POST",
+        &path,
+        &headers,
+        &body,
+        Duration::from_secs(6),
+    );
     let text = answer.map_or_else(|e| format!("no answer ({e})"), |a| a.status.to_string());
     platform.record.line(&format!("{id}: {text}"));
 }
--- a/review/tools-2/kit.rs
+++ b/review/tools-2/kit.rs
@@ -8,7 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -149,9 +149,7 @@
     }
 
     fn is_free(network: &str, base: u16) -> bool {
-        let offsets = [
-            RPC, OPERATOR, DIRECTORY, METRICS, PUBLIC, READY, LIST, SERVER,
-        ];
+        let offsets = [RPC, OPERATOR, DIRECTORY, METRICS, PUBLIC, READY, LIST, SERVER];
         offsets.iter().all(|o| {
             let hosts = (1..=4).map(|kind| format!("{network}.{kind}.1:{}", base + o));
             hosts.into_iter().all(|a| TcpListener::bind(a).is_ok())
@@ -188,9 +186,7 @@
     }
 
     fn seeds(&self) -> String {
-        let seeds: Vec<String> = (0..3)
-            .map(|n| format!("\"{}\"", self.operator(n)))
-            .collect();
+        let seeds: Vec<String> = (0..3).map(|n| format!("\"{}\"", self.operator(n))).collect();
         format!("[{}]", seeds.join(", "))
     }
 
@@ -237,17 +233,13 @@
         let path = self.dir.join(format!("{name}.jsonc"));
         std::fs::write(&path, settings).expect("the settings file");
         let child = Platform::spawn(&self.dir, name, binary, &path);
-        self.record
-            .line(&format!("{name} starts, pid {}", child.id()));
+        self.record.line(&format!("{name} starts, pid {}", child.id()));
         let process = Process {
             child,
             binary: binary.to_string(),
             settings: path,
         };
-        self.processes
-            .lock()
-            .unwrap()
-            .insert(name.to_string(), process);
+        self.processes.lock().unwrap().insert(name.to_string(), process);
     }
 
     fn spawn(dir: &Path, name: &str, binary: &str, settings: &Path) -> Child {
@@ -370,14 +362,9 @@
             let mut reader = BufReader::new(stream.try_clone()?);
             let mut stream = stream;
             while let Some(head) = Head::read(&mut reader)? {
-                let zone = head
-                    .path
-                    .split(['?', '&'])
-                    .find_map(|p| p.strip_prefix("zone="));
+                let zone = head.path.split(['?', '&']).find_map(|p| p.strip_prefix("zone="));
                 let servers = servers.lock().unwrap().clone();
-                let listed = servers
-                    .iter()
-                    .filter(|s| zone.is_none_or(|z| z == s.domain));
+                let listed = servers.iter().filter(|s| zone.is_none_or(|z| z == s.domain));
                 let rows: Vec<String> = listed.map(|s| s.row()).collect();
                 let body = format!(
                     r#"{{"instances":{{"columns":["service","address","zone","version","slots","state","coldRemaining","id"],"rows":[{}]}},"nextPageToken":null}}"#,
@@ -397,13 +384,7 @@
         let mut delay = Duration::from_millis(50);
         let mut node = 0;
         loop {
-            let answer = call(
-                &self.operator(node % 3),
-                "POST",
-                "/v1/Config.Put",
-                &[],
-                document,
-            );
+            let answer = call(&self.operator(node % 3), "POST", "/v1/Config.Put", &[], document);
             match answer {
                 Ok(a) if a.status == 200 => return true,
                 Ok(a) if a.status < 500 && ![408, 429].contains(&a.status) => {
@@ -591,11 +572,7 @@
         if reader.read_line(&mut line)? == 0 {
             return Ok(None);
         }
-        let path = line
-            .split_whitespace()
-            .nth(1)
-            .unwrap_or_default()
-            .to_string();
+        let path = line.split_whitespace().nth(1).unwrap_or_default().to_string();
         Ok(Some(Head {
             path,
             headers: read_headers(reader)?,
@@ -747,3 +724,85 @@
     let _ = connection.stream.shutdown(Shutdown::Both);
     answer
 }
+
+/// Sends orders on a kept connection, one after the other, until it ends or `stop` is set.
+pub fn send_orders(
+    platform: &Platform,
+    client: usize,
+    stop: &AtomicBool,
+    lost: &Mutex<Vec<String>>,
+    answered: &AtomicUsize,
+) {
+    let Ok(mut connection) = Connection::open(&platform.entry(0), Duration::from_secs(5)) else {
+        return;
+    };
+    for n in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let id = format!("order-{client}-{n}");
+        let key = (client * 100 + n).to_string();
+        let headers = [
+            ("X-Request-Id", id.as_str()),
+            ("X-Deadline-Ms", "2500"),
+            ("X-Affinity-Key", key.as_str()),
+        ];
+        let sent = connection.send("POST", &format!("/orders/{client}/{n}"), &headers, b"{}");
+        let answer = sent.and_then(|()| connection.read_answer());
+        match answer {
+            Ok(a) => {
+                platform.record.note(&format!("{id}: {}", a.status));
+                answered.fetch_add(1, Ordering::Relaxed);
+                if a.header("connection")
+                    .is_some_and(|v| v.eq_ignore_ascii_case("close"))
+                {
+                    return;
+                }
+            }
+            Err(e) => {
+                platform.record.line(&format!("{id}: no answer ({e})"));
+                // The first request shows that the connection is kept.
+                if n > 0 {
+                    lost.lock().unwrap().push(id);
+                }
+                return;
+            }
+        }
+    }
+}
+
+/// Judges by the rule LOST: requests of kept connections that were passed on to a server and not answered. Exits.
+pub fn judge_lost(
+    platform: &Platform,
+    lost: &Mutex<Vec<String>>,
+    answered: &AtomicUsize,
+    kills: &Mutex<Vec<f64>>,
+    max_lost: usize,
+) -> ! {
+    let lost = lost.lock().unwrap();
+    let servers = platform.servers.lock().unwrap();
+    let runs: Vec<String> = servers
+        .iter()
+        .flat_map(|s| s.runs.lock().unwrap().clone())
+        .collect();
+    let passed_on: Vec<&String> = lost.iter().filter(|id| runs.contains(id)).collect();
+    platform.record.line(&format!(
+        "orders answered {}, ended without an answer {}, of these passed on to a server {}; ends of the entry {}",
+        answered.load(Ordering::Relaxed),
+        lost.len(),
+        passed_on.len(),
+        kills.lock().unwrap().len()
+    ));
+    match passed_on.len() > max_lost {
+        true => finish(
+            &platform.record,
+            BROKEN,
+            "LOST: more than three requests of kept connections were passed on and not answered",
+        ),
+        false => finish(
+            &platform.record,
+            HELD,
+            "all requests of kept connections were answered",
+        ),
+    }
+}
