Pace the uploads of review case 7 like a real link

Change: 1 MiB each 130 ms for each upload, which fills 1,000 Mbit/s together; TROUBLE=0 sends them in groups of four.

--- a/review/tools-2/entry_uploads.rs
+++ b/review/tools-2/entry_uploads.rs
@@ -4,7 +4,8 @@
 #[path = "kit.rs"]
 mod kit;
 
-use kit::{NOT_RUN, Platform, Record, call_within, config, finish, guard, route, without_trouble};
+use kit::{Connection, HOST, NOT_RUN, Platform, Record, config, finish, guard, route, without_trouble};
+use std::io::{self, Write};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -17,6 +18,13 @@
 const UPLOADS: usize = 16;
 const UPLOAD_BYTES: usize = 24 << 20;
 
+/// Uploads at a time without the disruption.
+const CALM_UPLOADS_AT_A_TIME: usize = 4;
+
+/// Pieces of an upload, and the pause after each: all uploads together fill the link of the machine (1,000 Mbit/s).
+const PIECE_BYTES: usize = 1 << 20;
+const PIECE_GAP: Duration = Duration::from_millis(130);
+
 /// Clients with a kept connection that send orders, one after the other.
 const ORDER_CLIENTS: usize = 10;
 
@@ -70,17 +78,19 @@
         "{UPLOADS} uploads of {UPLOAD_BYTES} bytes begin; memory {} MiB",
         platform.memory_mib("front-0")
     ));
-    match without_trouble() {
-        true => (0..UPLOADS).for_each(|n| upload(&platform, n)),
-        false => {
-            let uploads: Vec<_> = (0..UPLOADS)
-                .map(|n| {
-                    let platform = platform.clone();
-                    thread::spawn(move || upload(&platform, n))
-                })
-                .collect();
-            uploads.into_iter().for_each(|u| u.join().expect("an upload"));
-        }
+    let at_a_time = if without_trouble() {
+        CALM_UPLOADS_AT_A_TIME
+    } else {
+        UPLOADS
+    };
+    for first in (0..UPLOADS).step_by(at_a_time) {
+        let uploads: Vec<_> = (first..first + at_a_time)
+            .map(|n| {
+                let platform = platform.clone();
+                thread::spawn(move || upload(&platform, n))
+            })
+            .collect();
+        uploads.into_iter().for_each(|u| u.join().expect("an upload"));
     }
     thread::sleep(Duration::from_secs(2));
     stop.store(true, Ordering::Relaxed);
@@ -91,17 +101,21 @@
 
 fn upload(platform: &Platform, n: usize) {
     let id = format!("upload-{n}");
-    let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "6000")];
-    let body = vec![b'p'; UPLOAD_BYTES];
-    let path = format!("/uploads/{n}");
-    let answer = call_within(
-        &platform.entry(0),
-        "POST",
-        &path,
-        &headers,
-        &body,
-        Duration::from_secs(6),
-    );
-    let text = answer.map_or_else(|e| format!("no answer ({e})"), |a| a.status.to_string());
+    let answer = send_upload(platform, n, &id);
+    let text = answer.map_or_else(|e| format!("no answer ({e})"), |status| status.to_string());
     platform.record.line(&format!("{id}: {text}"));
 }
+
+fn send_upload(platform: &Platform, n: usize, id: &str) -> io::Result<u16> {
+    let mut connection = Connection::open(&platform.entry(0), Duration::from_secs(6))?;
+    let head = format!(
+        "POST /uploads/{n} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 6000\r\nContent-Length: {UPLOAD_BYTES}\r\nConnection: close\r\n\r\n"
+    );
+    connection.stream.write_all(head.as_bytes())?;
+    let piece = vec![b'p'; PIECE_BYTES];
+    for _ in 0..UPLOAD_BYTES / PIECE_BYTES {
+        connection.stream.write_all(&piece)?;
+        thread::sleep(PIECE_GAP);
+    }
+    Ok(connection.read_answer()?.status)
+}
