--- a/review/tools-2/pipelined_pages.rs
+++ b/review/tools-2/pipelined_pages.rs
@@ -1,4 +1,4 @@
-//! Case 8: pages with pipelined pictures. The answers that wait for the first one of their connection exceed the memory
+//! Case 9: pages with pipelined pictures. The answers that wait for the first one of their connection exceed the memory
 //! of an entry.
 
 #[path = "kit.rs"]
