Limit past changes in the state by their size

Cause: the audit trail kept 10,000 records and the change history 4,096 changes, whatever their size. Each record held the change and its inverse, decoded. Change: both keep encoded records, at most 4 MiB and 1 MiB; the newest audit record always stays. The audit page has at most 1 MiB of encoded records, and a reply to a watcher follows from the limit of the history.

--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -139,9 +139,7 @@
     let content = match version > known_version {
         false => WatchContent::Unchanged,
         true => match state.changes_since(known_version) {
-            ChangesSince::Changes(changes) => {
-                WatchContent::Changes(changes.into_iter().cloned().collect())
-            }
+            ChangesSince::Changes(changes) => WatchContent::Changes(changes),
             ChangesSince::Full(config) => WatchContent::Config(Box::new(config.clone())),
         },
     };
--- a/crates/state/src/changes_since.rs
+++ b/crates/state/src/changes_since.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum ChangesSince<'a> {
     /// The changes after the requested version, in order. Empty if it is the current version.
-    Changes(Vec<&'a ConfigChange>),
+    Changes(Vec<ConfigChange>),
     /// The full configuration. The requested version is older than the change history, or newer
     /// than the current version.
     Full(&'a Config),
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -6,7 +6,10 @@
 use crate::request_outcomes::RequestOutcomes;
 use crate::retired_processes::RetiredProcesses;
 use crate::wire::SnapshotWire;
-use crate::{AuditPage, ChangesSince, ClaimKey, ClaimOutcome, Config, DecodeError};
+use crate::{
+    AuditPage, ChangesSince, ClaimKey, ClaimOutcome, Config, DecodeError, EncodedAuditRecord,
+    RetainedBytes,
+};
 
 mod apply;
 mod claims;
@@ -74,11 +77,26 @@
         self.claim_outcome(key)
     }
 
-    /// Returns at most `limit` audit records after a sequence number (0 to start at the oldest).
+    /// Returns at most `limit` audit records after a sequence number (0 to start at the oldest), and
+    /// fewer if they are large. A page without records means that there are no further ones.
     pub fn audit(&self, after: u64, limit: usize) -> AuditPage {
         self.audit.page(after, limit)
     }
 
+    /// Returns the audit records after a sequence number, up to `max_bytes` but at least one if there
+    /// are any.
+    pub fn encoded_audit(&self, after: u64, max_bytes: usize) -> Vec<EncodedAuditRecord> {
+        self.audit.encoded(after, max_bytes).cloned().collect()
+    }
+
+    /// Memory of the past changes that the state holds.
+    pub fn retained_bytes(&self) -> RetainedBytes {
+        RetainedBytes {
+            audit_trail: self.audit.records.bytes(),
+            change_history: self.history.bytes(),
+        }
+    }
+
     /// Whether a [`CommandKind::Expire`](crate::CommandKind::Expire) would remove anything now. One
     /// command removes a bounded number of claims and digests. It should be proposed at least every
     /// two minutes even if nothing has expired, because the elapsed leader time is accumulated from
--- a/crates/state/src/state/config_changes.rs
+++ b/crates/state/src/state/config_changes.rs
@@ -7,7 +7,7 @@
     pub(super) fn apply_change(&mut self, command: &Command, change: ConfigChange) {
         let before = self.inverse(&change);
         self.config.apply(&change);
-        self.history.push(change.clone());
+        self.history.push(&change);
         self.append_audit_record(
             command,
             AuditChange::Config {
--- a/crates/state/src/wire.rs
+++ b/crates/state/src/wire.rs
@@ -13,7 +13,7 @@
 mod profile_wire;
 mod snapshot_wire;
 
-pub(crate) use audit_wire::AuditRecordWire;
+pub(crate) use audit_wire::{AuditRecordWire, AuditTrailWire};
 pub(crate) use change_wire::ChangeWire;
 pub(crate) use claim_wire::LiveClaimWire;
 pub(crate) use config_wire::ConfigWire;
--- a/crates/state/src/wire/audit_wire.rs
+++ b/crates/state/src/wire/audit_wire.rs
@@ -1,6 +1,10 @@
 use super::ChangeWire;
-use crate::{Actor, AuditChange, AuditRecord, RequestId};
-use serde::{Deserialize, Serialize};
+use crate::audit_trail::RetainedRecords;
+use crate::{Actor, AuditChange, AuditRecord, EncodedAuditRecord, RequestId};
+use serde::de::{SeqAccess, Visitor};
+use serde::ser::{SerializeSeq, SerializeTuple};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::fmt;
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 enum AuditChangeWire {
@@ -71,3 +75,85 @@
         }
     }
 }
+
+/// The audit records in a snapshot, encoded as a sequence of [`AuditRecordWire`].
+///
+/// Snapshots of earlier builds hold up to 10,000 records of any size. Decoding keeps one record at a
+/// time in addition to the retained ones, so that the memory does not depend on their number.
+#[derive(Clone, Debug)]
+pub(crate) struct AuditTrailWire {
+    pub(crate) retained: RetainedRecords,
+    /// Number of records in the snapshot.
+    pub(crate) total: u64,
+}
+
+/// Writes an encoded record without a length before it, as if it were encoded in place.
+struct InPlace<'a>(&'a EncodedAuditRecord);
+
+struct AuditTrailVisitor;
+
+impl From<&RetainedRecords> for AuditTrailWire {
+    fn from(records: &RetainedRecords) -> Self {
+        AuditTrailWire {
+            retained: records.clone(),
+            total: records.len() as u64,
+        }
+    }
+}
+
+impl Serialize for AuditTrailWire {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        let mut seq = serializer.serialize_seq(Some(self.retained.len()))?;
+        for record in self.retained.iter() {
+            seq.serialize_element(&InPlace(record))?;
+        }
+        seq.end()
+    }
+}
+
+impl Serialize for InPlace<'_> {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        let bytes = self.0.as_bytes();
+        let mut tuple = serializer.serialize_tuple(bytes.len())?;
+        for byte in bytes {
+            tuple.serialize_element(byte)?;
+        }
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for AuditTrailWire {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserializer.deserialize_seq(AuditTrailVisitor)
+    }
+}
+
+impl<'de> Visitor<'de> for AuditTrailVisitor {
+    type Value = AuditTrailWire;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a sequence of audit records")
+    }
+
+    fn visit_seq<A>(self, mut seq: A) -> Result<AuditTrailWire, A::Error>
+    where
+        A: SeqAccess<'de>,
+    {
+        let mut retained = RetainedRecords::default();
+        let mut total = 0;
+        while let Some(record) = seq.next_element::<AuditRecordWire>()? {
+            total += 1;
+            retained.push(EncodedAuditRecord::from(&AuditRecord::from(record)));
+        }
+        Ok(AuditTrailWire { retained, total })
+    }
+}
--- a/crates/state/src/wire/snapshot_wire.rs
+++ b/crates/state/src/wire/snapshot_wire.rs
@@ -1,5 +1,5 @@
 use super::{
-    AuditRecordWire, ConfigWire, LiveClaimWire, RecordedOutcomeWire, SNAPSHOT_FORMAT,
+    AuditTrailWire, ConfigWire, LiveClaimWire, RecordedOutcomeWire, SNAPSHOT_FORMAT,
     WORKSPACE_SNAPSHOT_FORMAT,
 };
 use crate::audit_trail::AuditTrail;
@@ -10,7 +10,7 @@
 use crate::released_attempts::{ReleasedAttempts, SequenceFloor};
 use crate::request_outcomes::RequestOutcomes;
 use crate::retired_processes::RetiredProcesses;
-use crate::{Attempt, AuditChange, ConfigChange, DecodeError, RequestId, State};
+use crate::{Attempt, DecodeError, RequestId, State};
 use mangospindle_model::{EntryId, WorkspaceTable};
 use serde::{Deserialize, Serialize};
 
@@ -27,7 +27,7 @@
     retired: Vec<(EntryId, Vec<u64>)>,
     requests: Vec<(RequestId, RecordedOutcomeWire)>,
     audit_last: u64,
-    audit: Vec<AuditRecordWire>,
+    audit: AuditTrailWire,
     claims: Vec<(KeyDigest, LiveClaimWire)>,
     digests: Vec<(u64, Vec<KeyDigest>)>,
     released: Vec<(u64, Attempt)>,
@@ -89,7 +89,7 @@
                 .filter_map(|(id, r)| Some((id.clone(), r.try_into().ok()?)))
                 .collect(),
             audit_last: state.audit.last,
-            audit: state.audit.records.iter().map(|r| r.into()).collect(),
+            audit: AuditTrailWire::from(&state.audit.records),
             claims: claims.map(|(k, c)| (*k, c.into())).collect(),
             digests: groups.map(|g| (g.newest_ms, g.digests.clone())).collect(),
             released: state.released.order().iter().copied().collect(),
@@ -103,15 +103,8 @@
 
 /// Whether the state holds workspaces or a record of a change of them.
 fn has_had_workspaces(state: &State) -> bool {
-    let is_workspace_change = |change: &AuditChange| match change {
-        AuditChange::Bootstrap { .. } => false,
-        AuditChange::Config { before, after } => [before.as_deref(), Some(&**after)]
-            .into_iter()
-            .flatten()
-            .any(|c| matches!(c, ConfigChange::UpdateRoutesAndWorkspaces(..))),
-    };
     let mut records = state.audit.records.iter();
-    !state.config.routes.workspaces.is_empty() || records.any(|r| is_workspace_change(&r.change))
+    !state.config.routes.workspaces.is_empty() || records.any(|r| r.changes_workspaces())
 }
 
 impl TryFrom<SnapshotWire> for State {
@@ -129,7 +122,7 @@
         if wire.owned_since_ms.iter().any(|t| *t > wire.elapsed_ms) {
             return inconsistent("an ownership time is after the elapsed leader time".to_string());
         }
-        if wire.audit.len() as u64 > wire.audit_last {
+        if wire.audit.total > wire.audit_last {
             return inconsistent("there are more audit records than sequence numbers".to_string());
         }
         let requests: Result<Vec<_>, String> = (wire.requests.into_iter())
@@ -149,7 +142,7 @@
             history: ChangeHistory::default(),
             requests: RequestOutcomes::from_parts(requests),
             audit: AuditTrail {
-                records: wire.audit.into_iter().map(|r| r.into()).collect(),
+                records: wire.audit.retained,
                 last: wire.audit_last,
             },
             claims: ClaimTable::from_parts(claims.collect(), groups.collect()),
--- a/crates/state/tests/state/main.rs
+++ b/crates/state/tests/state/main.rs
@@ -4,6 +4,7 @@
 mod claim_memory;
 mod fuzz;
 mod oracle;
+mod retained;
 mod routes;
 mod scenarios;
 mod snapshots;
--- a/crates/state/tests/state/oracle.rs
+++ b/crates/state/tests/state/oracle.rs
@@ -140,7 +140,7 @@
             && let ChangesSince::Changes(changes) = state.changes_since(self.config.version)
         {
             assert_eq!(changes.len() as u64, changed);
-            changes.into_iter().for_each(|c| self.config.apply(c));
+            changes.iter().for_each(|c| self.config.apply(c));
             assert_eq!(
                 &self.config, config,
                 "the changes do not lead to the current configuration"
--- a/crates/state/tests/state/snapshots.rs
+++ b/crates/state/tests/state/snapshots.rs
@@ -121,7 +121,7 @@
         if i % 3_000 == 0 {
             match replica.state.changes_since(watcher_config.version) {
                 ChangesSince::Changes(changes) => {
-                    changes.into_iter().for_each(|c| watcher_config.apply(c))
+                    changes.iter().for_each(|c| watcher_config.apply(c))
                 }
                 ChangesSince::Full(_) => panic!("the change history has fewer than 3,000 changes"),
             }
