Rotate the exported audit trail and bound its size

Callers would see: a replica whose disk is full takes no part; with all of them full, no change is accepted. Cause: the export appended to one file for good. Change: files of 16 MiB, the oldest removed above 64 MiB; the file of an earlier build is cut to its newest 16 MiB. Records are exported when they are applied, because the trail in memory has a limit in bytes now and the rest of a batch could evict them. The disk thread formats them, in pages of 1 MiB instead of 256 records. A record above 8 MiB is exported without its change. The last record is found by reading backwards, not in a fixed tail. audit_file_bytes shows the size.

--- a/crates/control/src/audit_export.rs
+++ b/crates/control/src/audit_export.rs
@@ -1,15 +1,17 @@
-use mangospindle_state::{AuditChange, AuditPage, AuditRecord};
+//! Exports the audit trail to files for operators.
+
+use crate::limits::{AUDIT_EXPORT_BYTES, AUDIT_FILE_LIMITS, MAX_AUDIT_LINE_BYTES};
+use mangospindle_state::{
+    Actor, AuditChange, AuditRecord, ConfigChange, EncodedAuditRecord, RequestId, State,
+};
+use mangospindle_storage::{OpenedLines, RotatedLines};
 use mangospindle_telemetry::event;
-use serde_json::{Value, json};
-use std::fs::{File, OpenOptions};
-use std::io::{self, Read, Seek, SeekFrom, Write};
+use serde::{Deserialize, Serialize};
+use std::io::{self, Write};
 use std::path::Path;
 
-/// Name of the exported file, in the data directory.
-const FILE_NAME: &str = "audit.jsonl";
-
-/// Bytes read from the end of the file to find its last record. A single record is far smaller.
-const TAIL_BYTES: u64 = 16 << 20;
+/// Name of the exported files, in the data directory.
+const FILE_STEM: &str = "audit";
 
 /// Selects the audit records to export, so that each is exported once and in sequence order.
 #[derive(Debug)]
@@ -17,103 +19,171 @@
     last_exported: u64,
 }
 
-/// The exported file: one JSON object per line.
+/// The exported files: one JSON object per line.
 #[derive(Debug)]
-pub(crate) struct AuditFile(File);
+pub(crate) struct AuditFile {
+    lines: RotatedLines,
+}
+
+/// A line of the exported files.
+#[derive(Serialize)]
+struct AuditLine<'a> {
+    sequence: u64,
+    index: u64,
+    leader_time_ms: u64,
+    actor: &'a Actor,
+    request: &'a RequestId,
+    version: u64,
+    before: Option<&'a ConfigChange>,
+    after: ChangeLine<'a>,
+}
+
+/// The change in a line.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum ChangeLine<'a> {
+    Bootstrap {
+        bootstrap: BootstrapLine<'a>,
+    },
+    Config(&'a ConfigChange),
+    /// The line would be longer than [`MAX_AUDIT_LINE_BYTES`].
+    Omitted {
+        omitted: &'static str,
+    },
+}
+
+#[derive(Serialize)]
+struct BootstrapLine<'a> {
+    entries: usize,
+    endpoints: usize,
+    profiles: &'a [String],
+}
+
+/// The part of a line that identifies the record.
+#[derive(Deserialize)]
+struct LineNumber {
+    sequence: u64,
+}
+
+/// A buffer that refuses more than [`MAX_AUDIT_LINE_BYTES`].
+#[derive(Default)]
+struct LineBuffer(Vec<u8>);
 
 impl AuditExport {
-    /// Opens the file, truncates an incomplete record at its end, and finds the last complete record.
+    /// Opens the files and finds the last complete record.
     pub(crate) fn open(data_dir: &Path) -> io::Result<(AuditExport, AuditFile)> {
-        let mut options = OpenOptions::new();
-        options.read(true).append(true).create(true);
-        let mut file = options.open(data_dir.join(FILE_NAME))?;
-        let length = file.metadata()?.len();
-        let start = length.saturating_sub(TAIL_BYTES);
-        file.seek(SeekFrom::Start(start))?;
-        let mut tail = Vec::new();
-        file.read_to_end(&mut tail)?;
-        let (complete_len, last_exported) = find_last_record(&tail);
-        if complete_len < tail.len() {
-            event!(Warn, "audit_tail_cut", "bytes" => tail.len() - complete_len);
-            file.set_len(start + complete_len as u64)?;
+        let number_of = |line: &[u8]| {
+            let line: Option<LineNumber> = serde_json::from_slice(line).ok();
+            line.map(|l| l.sequence)
+        };
+        let (lines, opened) =
+            RotatedLines::open(data_dir, FILE_STEM, AUDIT_FILE_LIMITS, number_of)?;
+        let OpenedLines {
+            truncated_bytes,
+            evicted_bytes,
+        } = opened;
+        if truncated_bytes > 0 {
+            event!(Warn, "audit_tail_cut", "bytes" => truncated_bytes);
         }
-        Ok((AuditExport { last_exported }, AuditFile(file)))
-    }
-
-    /// Sequence number of the last exported record.
-    pub(crate) fn last_exported(&self) -> u64 {
-        self.last_exported
+        if evicted_bytes > 0 {
+            event!(Warn, "audit_files_shortened", "bytes" => evicted_bytes,
+                "reason" => "the exported files were larger than the limit");
+        }
+        let last_exported = lines.last();
+        Ok((AuditExport { last_exported }, AuditFile { lines }))
     }
 
-    /// Encodes the records of a page that have not been exported yet, one JSON object per line.
-    pub(crate) fn encode_new_records(&mut self, page: &AuditPage) -> Vec<u8> {
-        let mut lines = Vec::new();
-        for record in &page.records {
-            if record.sequence <= self.last_exported {
-                continue;
-            }
-            if record.sequence > self.last_exported + 1 {
-                event!(
-                    Warn,
-                    "audit_gap",
-                    "after" => self.last_exported,
-                    "next" => record.sequence,
-                    "reason" => "this replica was away for longer than the state keeps records",
-                );
-            }
-            self.last_exported = record.sequence;
-            lines.extend_from_slice(record_to_json(record).to_string().as_bytes());
-            lines.push(b'\n');
+    /// Returns the next records that have not been exported yet, oldest first; empty if there are none.
+    pub(crate) fn next_records(&mut self, state: &State) -> Vec<EncodedAuditRecord> {
+        let records = state.encoded_audit(self.last_exported, AUDIT_EXPORT_BYTES);
+        if let Some(first) = records.first()
+            && first.sequence() > self.last_exported + 1
+        {
+            event!(
+                Warn,
+                "audit_gap",
+                "after" => self.last_exported,
+                "next" => first.sequence(),
+                "reason" => "this replica was away for longer than the state keeps records",
+            );
+        }
+        if let Some(last) = records.last() {
+            self.last_exported = last.sequence();
         }
-        lines
+        records
     }
 }
 
 impl AuditFile {
-    /// Appends lines and syncs the file. The replicated state drops old records, so an exported
-    /// record must survive a crash.
-    pub(crate) fn append(&mut self, lines: &[u8]) -> io::Result<()> {
-        self.0.write_all(lines)?;
-        self.0.sync_data()
+    /// Appends records and syncs them. The replicated state drops old records, so an exported record
+    /// must survive a crash.
+    pub(crate) fn append(&mut self, records: &[EncodedAuditRecord]) -> io::Result<()> {
+        for record in records {
+            let line = encode_line(&AuditRecord::from(record))?;
+            self.lines.append(record.sequence(), &line)?;
+        }
+        self.lines.sync()
+    }
+
+    /// Size of all files, in bytes.
+    pub(crate) fn total_bytes(&self) -> u64 {
+        self.lines.total_bytes()
     }
 }
 
-/// Returns the end offset and the sequence number of the last complete record. Data after that
-/// offset is an incomplete write, and its records are exported again.
-fn find_last_record(text: &[u8]) -> (usize, u64) {
-    let mut end = text.len();
-    while let Some(newline) = text[..end].iter().rposition(|b| *b == b'\n') {
-        let start = text[..newline].iter().rposition(|b| *b == b'\n');
-        let line = &text[start.map_or(0, |i| i + 1)..newline];
-        let record: Option<Value> = serde_json::from_slice(line).ok();
-        if let Some(sequence) = record.and_then(|r| r["sequence"].as_u64()) {
-            return (newline + 1, sequence);
+impl Write for LineBuffer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.0.len() + bytes.len() > MAX_AUDIT_LINE_BYTES {
+            return Err(io::ErrorKind::FileTooLarge.into());
         }
-        end = newline;
+        self.0.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
     }
-    (0, 0)
 }
 
-fn record_to_json(record: &AuditRecord) -> Value {
+/// Encodes a record as one line. Leaves out the change if the line would be too long.
+fn encode_line(record: &AuditRecord) -> io::Result<Vec<u8>> {
     let (before, after) = match &record.change {
         AuditChange::Bootstrap {
             entries,
             endpoints,
             profiles,
-        } => (
-            Value::Null,
-            json!({"bootstrap": {"entries": entries, "endpoints": endpoints, "profiles": profiles}}),
-        ),
-        AuditChange::Config { before, after } => (json!(before), json!(after)),
+        } => {
+            let bootstrap = BootstrapLine {
+                entries: *entries,
+                endpoints: *endpoints,
+                profiles,
+            };
+            (None, ChangeLine::Bootstrap { bootstrap })
+        }
+        AuditChange::Config { before, after } => {
+            (before.as_deref(), ChangeLine::Config(after.as_ref()))
+        }
+    };
+    let mut line = AuditLine {
+        sequence: record.sequence,
+        index: record.index,
+        leader_time_ms: record.leader_time_ms,
+        actor: &record.actor,
+        request: &record.request,
+        version: record.version,
+        before,
+        after,
     };
-    json!({
-        "sequence": record.sequence,
-        "index": record.index,
-        "leader_time_ms": record.leader_time_ms,
-        "actor": record.actor,
-        "request": record.request,
-        "version": record.version,
-        "before": before,
-        "after": after,
-    })
+    let mut buf = LineBuffer::default();
+    let written = serde_json::to_writer(&mut buf, &line);
+    if written.is_err_and(|e| e.io_error_kind() == Some(io::ErrorKind::FileTooLarge)) {
+        line.before = None;
+        line.after = ChangeLine::Omitted {
+            omitted: "the change is too large for the exported files",
+        };
+        buf = LineBuffer::default();
+        serde_json::to_writer(&mut buf, &line)?;
+    }
+    buf.0.push(b'\n');
+    Ok(buf.0)
 }
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -1,6 +1,7 @@
 use crate::audit_export::AuditFile;
 use mangospindle_consensus::{Entry, HardState, Snapshot};
 use mangospindle_model::Clock;
+use mangospindle_state::EncodedAuditRecord;
 use mangospindle_storage::{StorageError, Wal};
 use std::io;
 use std::sync::Arc;
@@ -22,8 +23,8 @@
     InstallSnapshot(Snapshot),
     /// Save the replica's own snapshot and drop the log entries that it covers.
     SaveSnapshot(Snapshot),
-    /// Append lines to the exported audit trail.
-    Audit(Vec<u8>),
+    /// Append records to the exported audit trail.
+    Audit(Vec<EncodedAuditRecord>),
 }
 
 /// A batch of writes that has been synced.
@@ -35,6 +36,8 @@
     pub(crate) last_entry: Option<(u64, u64)>,
     /// Duration of the sync; `None` if the batch needed none.
     pub(crate) sync_duration: Option<Duration>,
+    /// Size of the exported audit files after the batch, in bytes.
+    pub(crate) audit_file_bytes: u64,
 }
 
 /// Why the disk thread stopped.
@@ -139,7 +142,7 @@
                 DiskWrite::Entries(entries) => self.wal.append(&entries)?,
                 DiskWrite::InstallSnapshot(snapshot) => self.wal.install_snapshot(&snapshot)?,
                 DiskWrite::SaveSnapshot(snapshot) => self.wal.save_snapshot(&snapshot)?,
-                DiskWrite::Audit(lines) => self.audit.append(&lines)?,
+                DiskWrite::Audit(records) => self.audit.append(&records)?,
             }
         }
         if needs_sync {
@@ -151,6 +154,7 @@
             last_write,
             last_entry,
             sync_duration,
+            audit_file_bytes: self.audit.total_bytes(),
         })
     }
 }
--- a/crates/control/src/limits.rs
+++ b/crates/control/src/limits.rs
@@ -1,5 +1,6 @@
 //! Intervals and limits of a control replica.
 
+use mangospindle_storage::RotationLimits;
 use std::time::Duration;
 
 /// Interval between ticks of the consensus node. A fifth of the heartbeat interval, so that a
@@ -56,5 +57,16 @@
 /// proposals are finished.
 pub(crate) const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Maximum number of audit records that are exported at once.
-pub(crate) const AUDIT_PAGE_RECORDS: usize = 256;
+/// Maximum size of the encoded audit records that are exported at once, in bytes. A larger record is
+/// exported alone.
+pub(crate) const AUDIT_EXPORT_BYTES: usize = 1 << 20;
+
+/// Maximum size of an exported audit record, in bytes.
+pub(crate) const MAX_AUDIT_LINE_BYTES: usize = 8 << 20;
+
+/// Limits of the exported audit files. All of them together take a quarter of a disk of 256 MiB, which
+/// the log and two snapshots share.
+pub(crate) const AUDIT_FILE_LIMITS: RotationLimits = RotationLimits {
+    max_file_bytes: 16 << 20,
+    max_total_bytes: 64 << 20,
+};
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -26,6 +26,7 @@
     version: IntGauge,
     confirmed_age_ms: IntGauge,
     watches: IntGauge,
+    pub(crate) audit_file_bytes: IntGauge,
     syncs: IntCounter,
     sync_seconds: Histogram,
     proposals: IntCounterVec,
@@ -99,6 +100,10 @@
                 "Time since the state was known to be current; -1 for never.",
             )?,
             watches: r.gauge("watches", "Watches that are open.")?,
+            audit_file_bytes: r.gauge(
+                "audit_file_bytes",
+                "Bytes of the exported audit files on disk.",
+            )?,
             whole_lists_sent: r.gauge(
                 "whole_lists_sent",
                 "Whole lists of endpoints sent to entries and replicas.",
@@ -149,7 +154,8 @@
         self.count_proposal(&result);
     }
 
-    pub(crate) fn observe_sync(&self, synced: &SyncedBatch) {
+    pub(crate) fn observe_batch(&self, synced: &SyncedBatch) {
+        self.audit_file_bytes.set(synced.audit_file_bytes as i64);
         if let Some(duration) = synced.sync_duration {
             self.syncs.inc();
             self.sync_seconds.observe(duration.as_secs_f64());
--- a/crates/control/src/replica/apply.rs
+++ b/crates/control/src/replica/apply.rs
@@ -2,9 +2,7 @@
 
 use super::Replica;
 use crate::disk::DiskWrite;
-use crate::limits::{
-    AUDIT_PAGE_RECORDS, SNAPSHOT_MAX_LOG_BYTES, SNAPSHOT_MIN_ENTRIES, SNAPSHOT_SIZE_DIVISOR,
-};
+use crate::limits::{SNAPSHOT_MAX_LOG_BYTES, SNAPSHOT_MIN_ENTRIES, SNAPSHOT_SIZE_DIVISOR};
 use crate::order_subject::OrderSubject;
 use actix::Context;
 use mangospindle_consensus::{Entry, Input, Member, Membership, Payload, Snapshot};
@@ -45,6 +43,9 @@
         if let Some(subject) = OrderSubject::of_change(&command.kind, state.config()) {
             self.orders.record(index, subject);
         }
+        drop(state);
+        // Further commands of the same batch could evict the records.
+        self.export_audit();
         outcome
     }
 
@@ -95,13 +96,12 @@
     pub(super) fn export_audit(&mut self) {
         loop {
             let state = self.parts.published.state.borrow();
-            let page = state.audit(self.parts.audit.last_exported(), AUDIT_PAGE_RECORDS);
+            let records = self.parts.audit.next_records(&state);
             drop(state);
-            let lines = self.parts.audit.encode_new_records(&page);
-            if lines.is_empty() {
+            if records.is_empty() {
                 return;
             }
-            self.parts.disk.submit(DiskWrite::Audit(lines));
+            self.parts.disk.submit(DiskWrite::Audit(records));
         }
     }
 }
--- a/crates/control/src/replica/disk_failure.rs
+++ b/crates/control/src/replica/disk_failure.rs
@@ -66,6 +66,7 @@
         let snapshot = recovered.snapshot.as_ref().map(|s| (s.index, s.data.len()));
         let now = self.now();
         let node = Node::new(settings, recovered, rand::random(), now).into_diagnostic()?;
+        let audit_file_bytes = audit_file.total_bytes();
         let disk_done = cx.address();
         let clock = Arc::clone(&self.parts.clock);
         let disk = DiskWriter::start(wal, audit_file, clock, move |result| {
@@ -78,6 +79,7 @@
         self.parts.published.state.replace(state);
         self.parts.published.out_of_service.set(false);
         self.parts.metrics.disk_failed.set(0);
+        (self.parts.metrics.audit_file_bytes).set(audit_file_bytes as i64);
         self.restart_log(snapshot);
         self.phase = Phase::Running;
         Ok(())
--- a/crates/control/src/replica/handlers.rs
+++ b/crates/control/src/replica/handlers.rs
@@ -103,7 +103,7 @@
             // Writes that were queued before the failure; what they made durable is read back.
             Ok(_) if self.phase == Phase::DiskFailed => {}
             Ok(synced) => {
-                self.parts.metrics.observe_sync(&synced);
+                self.parts.metrics.observe_batch(&synced);
                 for message in self.send_barrier.release(synced.last_write) {
                     self.send(message);
                 }
--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -89,6 +89,9 @@
             Arc::clone(&clock),
             peer_counters.clone(),
         );
+        let metrics =
+            Metrics::new(&registry, peer_counters, server_counters.clone()).into_diagnostic()?;
+        (metrics.audit_file_bytes).set(audit_file.total_bytes() as i64);
         let cx = Context::<Replica>::new();
         let replica = cx.address();
         let disk_done = replica.clone();
@@ -106,8 +109,7 @@
             disk,
             audit,
             peers: Rc::clone(&peers),
-            metrics: Metrics::new(&registry, peer_counters, server_counters.clone())
-                .into_diagnostic()?,
+            metrics,
             snapshot,
         };
         cx.run(Replica::new(parts));
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,8 +1,9 @@
-//! Write-ahead log and snapshot files of a control replica.
+//! Write-ahead log, snapshot files and exported lines of a control replica.
 //!
 //! A data directory holds `lock`, `identity` (the storage identifier), `snapshot-*` (the latest
 //! snapshot) and `wal-*` (the segments of the log, named after the sequence number of their first
-//! record).
+//! record). [`RotatedLines`] are files for operators beside them; the replica does not read them
+//! back.
 //!
 //! Invariants:
 //! - Everything written before a successful [`Wal::sync`] survives a crash. The log syncs its data
@@ -25,6 +26,7 @@
 mod options;
 mod record;
 mod replay;
+mod rotated_lines;
 mod segment;
 mod wal;
 
@@ -33,6 +35,7 @@
 pub use error::StorageError;
 pub use file_system::FileSystem;
 pub use options::WalOptions;
+pub use rotated_lines::{OpenedLines, RotatedLines, RotationLimits};
 pub use wal::Wal;
 
 use record::Record;
