--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -1,6 +1,9 @@
 use crate::Membership;
 use serde::{Deserialize, Serialize};
 
+/// Bytes counted for an entry in addition to its command.
+const OVERHEAD_BYTES: usize = 32;
+
 /// An entry of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -12,6 +15,17 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Size in memory and in a message, in bytes.
+    pub(crate) fn size_bytes(&self) -> usize {
+        let command = match &self.payload {
+            Payload::Command(command) => command.len(),
+            Payload::Noop | Payload::Membership(_) => 0,
+        };
+        command + OVERHEAD_BYTES
+    }
+}
+
 /// Content of a log entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -7,6 +7,8 @@
     /// Index and term of the entry before the first one in memory.
     previous: (u64, u64),
     entries: VecDeque<Entry>,
+    /// Size of the entries in memory, in bytes.
+    bytes: usize,
     /// Latest snapshot. Present whenever `previous` is not the start of the log.
     snapshot: Option<Snapshot>,
     /// Memberships with their indexes. The first one is in effect before the first entry.
@@ -29,6 +31,7 @@
         let mut log = Self {
             previous,
             entries: VecDeque::new(),
+            bytes: 0,
             snapshot,
             memberships: vec![(previous.0, membership.unwrap_or_default())],
             persisted: 0,
@@ -128,13 +131,15 @@
         if let Payload::Membership(membership) = &entry.payload {
             self.memberships.push((entry.index, membership.clone()));
         }
+        self.bytes += entry.size_bytes();
         self.entries.push_back(entry);
     }
 
     /// Removes the entries from `index` onwards, and the memberships in them.
     pub(crate) fn truncate(&mut self, index: u64) {
         while self.entries.back().is_some_and(|e| e.index >= index) {
-            self.entries.pop_back();
+            let removed = self.entries.pop_back();
+            self.bytes -= removed.map_or(0, |e| e.size_bytes());
         }
         let first = self.memberships.first().cloned();
         self.memberships.retain(|(at, _)| *at < index);
@@ -164,8 +169,15 @@
             .collect()
     }
 
-    /// Builds the snapshot up to `index` and drops the entries more than `retained` behind it.
-    pub(crate) fn compact(&mut self, index: u64, data: Vec<u8>, retained: u64) -> Option<Snapshot> {
+    /// Builds the snapshot up to `index`. Of the entries that it includes, keeps the newest ones, at
+    /// most `retained_entries` and `retained_bytes`.
+    pub(crate) fn compact(
+        &mut self,
+        index: u64,
+        data: Vec<u8>,
+        retained_entries: u64,
+        retained_bytes: usize,
+    ) -> Option<Snapshot> {
         let term = self.term(index)?;
         if self.snapshot.as_ref().is_some_and(|s| s.index >= index) {
             return None;
@@ -178,13 +190,14 @@
             data,
         };
         self.snapshot = Some(snapshot.clone());
-        let last_dropped = index.saturating_sub(retained);
+        let last_dropped = self.last_dropped(index, retained_entries, retained_bytes);
         while self
             .entries
             .front()
             .is_some_and(|e| e.index <= last_dropped)
         {
             if let Some(entry) = self.entries.pop_front() {
+                self.bytes -= entry.size_bytes();
                 self.previous = (entry.index, entry.term);
             }
         }
@@ -196,10 +209,27 @@
         Some(snapshot)
     }
 
+    /// Index of the newest entry that a snapshot up to `index` replaces.
+    fn last_dropped(&self, index: u64, retained_entries: u64, retained_bytes: usize) -> u64 {
+        let mut bytes = 0;
+        let included = self.entries.iter().rev().filter(|e| e.index <= index);
+        let first_dropped = included.zip(1..).find(|(entry, count)| {
+            bytes += entry.size_bytes();
+            *count > retained_entries || bytes > retained_bytes
+        });
+        first_dropped.map_or(self.previous.0, |(entry, _)| entry.index)
+    }
+
+    /// Size of the entries in memory, in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Replaces the whole log with a snapshot.
     pub(crate) fn install(&mut self, snapshot: Snapshot) {
         self.previous = (snapshot.index, snapshot.term);
         self.entries.clear();
+        self.bytes = 0;
         self.memberships = vec![(snapshot.index, snapshot.membership.clone())];
         self.persisted = snapshot.index;
         self.first_unwritten = snapshot.index + 1;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -185,6 +185,16 @@
         self.log.first_index()
     }
 
+    /// Returns the size of the entries of the log that are in memory, in bytes.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
+    /// Returns the size of the snapshot that is in memory beside the log, in bytes.
+    pub fn snapshot_bytes(&self) -> usize {
+        self.log.snapshot().map_or(0, |s| s.data.len())
+    }
+
     /// Returns the latest membership in the log, committed or not. It is empty before a cluster has
     /// formed.
     pub fn membership(&self) -> &Membership {
--- a/crates/consensus/src/node/commit.rs
+++ b/crates/consensus/src/node/commit.rs
@@ -66,8 +66,9 @@
         if index > self.commit_index {
             return;
         }
-        let retained = self.settings.timing.retained_entries;
-        let snapshot = self.log.compact(index, data, retained);
+        let timing = &self.settings.timing;
+        let (entries, bytes) = (timing.retained_entries, timing.retained_bytes);
+        let snapshot = self.log.compact(index, data, entries, bytes);
         self.outputs.extend(snapshot.map(Output::SaveSnapshot));
     }
 
--- a/crates/consensus/src/node/replicate.rs
+++ b/crates/consensus/src/node/replicate.rs
@@ -1,12 +1,9 @@
 //! Appends and snapshots sent by the leader.
 
 use super::{Node, State};
-use crate::{Entry, LeadershipTransfer, Member, MessageKind, Payload, ReplicationMode};
+use crate::{Entry, LeadershipTransfer, Member, MessageKind, ReplicationMode};
 use std::time::Duration;
 
-/// Bytes counted for an entry in addition to its command.
-const ENTRY_OVERHEAD_BYTES: usize = 32;
-
 impl Node {
     /// Starts a heartbeat round by sending an append without entries to all other members.
     pub(super) fn begin_round(&mut self, now: Duration) {
@@ -74,7 +71,7 @@
         let mut entries = Vec::new();
         let mut bytes = 0;
         while let Some(entry) = self.log.entry(progress.next + entries.len() as u64) {
-            let size = entry_bytes(entry);
+            let size = entry.size_bytes();
             let fits = bytes + size <= timing.max_append_bytes
                 && in_flight_bytes + bytes + size <= timing.max_in_flight_bytes;
             if !fits && (in_flight_bytes > 0 || !entries.is_empty()) {
@@ -178,11 +175,3 @@
         }
     }
 }
-
-fn entry_bytes(entry: &Entry) -> usize {
-    let command = match &entry.payload {
-        Payload::Command(command) => command.len(),
-        Payload::Noop | Payload::Membership(_) => 0,
-    };
-    command + ENTRY_OVERHEAD_BYTES
-}
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -48,6 +48,9 @@
     /// Number of entries that stay in the log after they are included in a snapshot. A follower
     /// that is only slightly behind then needs no snapshot.
     pub retained_entries: u64,
+    /// Maximum size of the entries that stay in the log after they are included in a snapshot, in
+    /// bytes.
+    pub retained_bytes: usize,
 }
 
 impl Default for Timing {
@@ -64,6 +67,8 @@
             max_in_flight_appends: 32,
             max_append_bytes: 1 << 20,
             retained_entries: 1000,
+            // The window of a follower, so that entries in flight are not replaced by a snapshot.
+            retained_bytes: 4 << 20,
         }
     }
 }
--- a/crates/consensus/tests/cluster/simulation.rs
+++ b/crates/consensus/tests/cluster/simulation.rs
@@ -90,6 +90,7 @@
             max_in_flight_appends: 8,
             max_append_bytes: if short_timeouts { 60 } else { 200 },
             retained_entries: 3,
+            retained_bytes: WINDOW_BYTES,
             initial_election_stagger: Duration::from_millis(shortest / 5),
             snapshot_retry_interval: Duration::from_millis(500),
             heartbeat_interval: Duration::from_millis(shortest / 5),
--- a/crates/consensus/tests/single_node.rs
+++ b/crates/consensus/tests/single_node.rs
@@ -324,3 +324,55 @@
     assert!(times_ms[1] >= times_ms[0] + round_trips_ms, "{times_ms:?}");
     assert!(times_ms[2] >= times_ms[1] + round_trips_ms, "{times_ms:?}");
 }
+
+/// Guards against a log that keeps as many entries after a snapshot as their number allows, whatever
+/// their size, and fills the memory.
+#[test]
+fn compaction_keeps_entries_up_to_a_size() {
+    struct Case {
+        command_bytes: usize,
+        entries: u64,
+        kept: u64,
+    }
+    let cases = [
+        Case {
+            command_bytes: 10,
+            entries: 2_000,
+            kept: 1_000,
+        },
+        Case {
+            command_bytes: 1 << 20,
+            entries: 40,
+            kept: 3,
+        },
+        Case {
+            command_bytes: 5 << 20,
+            entries: 3,
+            kept: 0,
+        },
+    ];
+    for case in cases {
+        let command = || Payload::Command(vec![7; case.command_bytes]);
+        let mut node = node((0..case.entries).map(|_| command()).collect());
+        let last = node.last_index();
+        let heartbeat = MessageKind::Append {
+            prev_index: last,
+            prev_term: 2,
+            entries: Vec::new(),
+            commit: last,
+            round: 1,
+            echo_ms: 0,
+            confirmed_age_ms: u64::MAX,
+        };
+        node.step(NOW, message(2, heartbeat));
+        assert_eq!(node.commit_index(), last);
+        let data = vec![1; 100];
+        let outputs = node.step(NOW, Input::Compact { index: last, data });
+        let is_snapshot = |o: &Output| matches!(o, Output::SaveSnapshot(s) if s.index == last);
+        assert!(outputs.iter().any(is_snapshot), "{outputs:?}");
+        assert_eq!(node.first_index(), last + 1 - case.kept);
+        assert_eq!(node.snapshot_bytes(), 100);
+        assert!(node.log_bytes() <= Timing::default().retained_bytes);
+        assert!(node.log_bytes() >= case.command_bytes * case.kept as usize);
+    }
+}
--- a/crates/control/src/limits.rs
+++ b/crates/control/src/limits.rs
@@ -11,6 +11,10 @@
 /// fraction given by [`SNAPSHOT_SIZE_DIVISOR`].
 pub(crate) const SNAPSHOT_MIN_ENTRIES: u64 = 160;
 
+/// Bytes of applied entries after which a snapshot is taken, if they also reach that fraction. Bounds
+/// the memory of a log of few large entries.
+pub(crate) const SNAPSHOT_MIN_LOG_BYTES: u64 = 8 << 20;
+
 /// A snapshot is taken once the size of the entries since the last snapshot reaches the size of
 /// that snapshot divided by this number. Snapshots then write at most three times as many bytes as
 /// the log.
@@ -28,6 +32,9 @@
 /// Log entries retained before the index of a snapshot, for followers that are slightly behind.
 pub(crate) const RETAINED_LOG_ENTRIES: u64 = 128;
 
+/// Maximum size of these entries, in bytes: what may be in flight to a follower.
+pub(crate) const RETAINED_LOG_BYTES: usize = 4 << 20;
+
 /// Maximum number of pending proposals at one leader.
 pub(crate) const MAX_PENDING_PROPOSALS: usize = 8192;
 
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -26,6 +26,10 @@
     version: IntGauge,
     confirmed_age_ms: IntGauge,
     watches: IntGauge,
+    audit_trail_bytes: IntGauge,
+    change_history_bytes: IntGauge,
+    log_bytes: IntGauge,
+    snapshot_bytes: IntGauge,
     pub(crate) audit_file_bytes: IntGauge,
     syncs: IntCounter,
     sync_seconds: Histogram,
@@ -100,6 +104,19 @@
                 "Time since the state was known to be current; -1 for never.",
             )?,
             watches: r.gauge("watches", "Watches that are open.")?,
+            audit_trail_bytes: r.gauge(
+                "audit_trail_bytes",
+                "Bytes of audit records in memory and in each snapshot.",
+            )?,
+            change_history_bytes: r.gauge(
+                "change_history_bytes",
+                "Bytes of changes kept in memory for entries with older versions.",
+            )?,
+            log_bytes: r.gauge("log_bytes", "Bytes of log entries in memory.")?,
+            snapshot_bytes: r.gauge(
+                "snapshot_bytes",
+                "Bytes of the latest snapshot, which is on disk and in memory.",
+            )?,
             audit_file_bytes: r.gauge(
                 "audit_file_bytes",
                 "Bytes of the exported audit files on disk.",
@@ -190,6 +207,12 @@
         self.confirmed_age_ms
             .set(age.map_or(-1, |age| age.as_millis() as i64));
         self.watches.set(published.open_watches.get() as i64);
+        let retained = published.state.borrow().retained_bytes();
+        self.audit_trail_bytes.set(retained.audit_trail as i64);
+        self.change_history_bytes
+            .set(retained.change_history as i64);
+        self.log_bytes.set(node.log_bytes() as i64);
+        self.snapshot_bytes.set(node.snapshot_bytes() as i64);
         let sent_lists = published.fleet().sent_lists();
         self.whole_lists_sent.set(sent_lists.whole as i64);
         self.list_differences_sent
--- a/crates/control/src/replica/apply.rs
+++ b/crates/control/src/replica/apply.rs
@@ -2,7 +2,9 @@
 
 use super::Replica;
 use crate::disk::DiskWrite;
-use crate::limits::{SNAPSHOT_MAX_LOG_BYTES, SNAPSHOT_MIN_ENTRIES, SNAPSHOT_SIZE_DIVISOR};
+use crate::limits::{
+    SNAPSHOT_MAX_LOG_BYTES, SNAPSHOT_MIN_ENTRIES, SNAPSHOT_MIN_LOG_BYTES, SNAPSHOT_SIZE_DIVISOR,
+};
 use crate::order_subject::OrderSubject;
 use actix::Context;
 use mangospindle_consensus::{Entry, Input, Member, Membership, Payload, Snapshot};
@@ -78,9 +80,10 @@
     pub(super) fn compact_if_due(&mut self, cx: &mut Context<Self>) {
         let (entries, bytes) = self.applied_since_snapshot;
         let reached = |value: u64, limit: u64| value * 100 >= limit * self.snapshot_percent;
+        let enough_entries =
+            reached(entries, SNAPSHOT_MIN_ENTRIES) || reached(bytes, SNAPSHOT_MIN_LOG_BYTES);
         let due = reached(bytes, SNAPSHOT_MAX_LOG_BYTES)
-            || reached(entries, SNAPSHOT_MIN_ENTRIES)
-                && reached(bytes, self.last_snapshot_bytes / SNAPSHOT_SIZE_DIVISOR);
+            || enough_entries && reached(bytes, self.last_snapshot_bytes / SNAPSHOT_SIZE_DIVISOR);
         if !due {
             return;
         }
--- a/crates/control/src/running_replica.rs
+++ b/crates/control/src/running_replica.rs
@@ -3,7 +3,7 @@
 use crate::disk_recovery::{OpenedDisk, open_disk};
 use crate::endpoint_polling::{EndpointSource, poll_endpoint_list};
 use crate::fleet_view::ViewExchange;
-use crate::limits::RETAINED_LOG_ENTRIES;
+use crate::limits::{RETAINED_LOG_BYTES, RETAINED_LOG_ENTRIES};
 use crate::metrics::Metrics;
 use crate::operator_handle::OperatorHandle;
 use crate::options::{ReplicaOptions, ReplicaSet};
@@ -227,6 +227,7 @@
         },
         timing: Timing {
             retained_entries: RETAINED_LOG_ENTRIES,
+            retained_bytes: RETAINED_LOG_BYTES,
             ..Timing::default()
         },
     }
--- a/crates/control/tests/past_changes.rs
+++ b/crates/control/tests/past_changes.rs
@@ -28,8 +28,10 @@
 /// audit trail in memory.
 const BATCH: u64 = 30;
 
-/// Limit of the exported files, in bytes.
+/// Limits, in bytes: the exported files, the log in memory, and a snapshot.
 const MAX_AUDIT_FILE_BYTES: u64 = 64 << 20;
+const MAX_LOG_BYTES: f64 = (24 << 20) as f64;
+const MAX_SNAPSHOT_BYTES: f64 = (6 << 20) as f64;
 
 /// Returns a command that changes all routes.
 fn put_routes(number: u64) -> Command {
@@ -109,10 +111,11 @@
     (bytes, lines.filter_map(sequence).collect())
 }
 
-/// Guards against a disk that fills up with exported audit records, and against records that are evicted
-/// before they are exported. The limit holds after a restart and for a replica that starts empty.
+/// Guards against replicas whose disk or memory fills up with past changes: exported audit records that
+/// stay for good, a log that is limited by the number of its entries, and records that are evicted
+/// before they are exported. The limits hold after a restart and for a replica that starts empty.
 #[test]
-fn large_changes_do_not_fill_the_disk() {
+fn large_changes_fill_neither_disk_nor_memory() {
     run_on_actix(async {
         let mut cluster = ReplicaCluster::start(3).await;
         let client = cluster.client(&cluster.all());
@@ -138,6 +141,9 @@
                     "{name} of replica {replica}: {value}"
                 );
             };
+            check("log_bytes", MAX_LOG_BYTES).await;
+            check("snapshot_bytes", MAX_SNAPSHOT_BYTES).await;
+            check("audit_trail_bytes", (4 << 20) as f64).await;
             check("audit_file_bytes", MAX_AUDIT_FILE_BYTES as f64).await;
             let data_dir = cluster.data_dir(replica);
             let is_exported = || async { exported(&data_dir).1.last() == Some(&version) };
