Sync the exported audit records once in a batch of writes

Records are exported when they are applied, so a batch of commands brings several exports, and each of them synced the file. On a disk with 5 ms a sync, ten changes in a batch would delay the next sync of the log by 50 ms. Change: the disk thread syncs the exported files once after a batch, as it does the log. Not measured on a slow disk. After: the tests of real replicas pass, among them audit_records_are_exported_once_and_in_order and large_changes_fill_neither_disk_nor_memory.

--- a/crates/control/src/audit_export.rs
+++ b/crates/control/src/audit_export.rs
@@ -115,13 +115,18 @@
 }
 
 impl AuditFile {
-    /// Appends records and syncs them. The replicated state drops old records, so an exported record
-    /// must survive a crash.
+    /// Appends records. They are durable after the next [`sync`](Self::sync).
     pub(crate) fn append(&mut self, records: &[EncodedAuditRecord]) -> io::Result<()> {
         for record in records {
             let line = encode_line(&AuditRecord::from(record))?;
             self.lines.append(record.sequence(), &line)?;
         }
+        Ok(())
+    }
+
+    /// Makes all appended records durable. The replicated state drops old records, so an exported record
+    /// must survive a crash.
+    pub(crate) fn sync(&mut self) -> io::Result<()> {
         self.lines.sync()
     }
 
--- a/crates/control/src/command_support.rs
+++ b/crates/control/src/command_support.rs
@@ -9,7 +9,8 @@
 use mangospindle_state::CommandKind;
 use std::rc::Rc;
 
-/// First byte of the request, which tells it from other exchanges. Earlier builds answer a request that
+/// First byte of the request, which tells it from other exchanges: restart reports (2) and usage (3 and
+/// 4). Earlier builds answer a request that
 /// they do not know with an empty reply.
 const KIND: u8 = 5;
 
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -134,9 +134,13 @@
         let mut last_entry = None;
         let mut sync_duration = None;
         let mut needs_sync = false;
+        let mut needs_audit_sync = false;
         for (number, operation) in batch {
             last_write = number;
-            needs_sync |= !matches!(operation, DiskWrite::Audit(_));
+            match operation {
+                DiskWrite::Audit(_) => needs_audit_sync = true,
+                _ => needs_sync = true,
+            }
             match operation {
                 DiskWrite::HardState(state) => self.wal.save_hard_state(&state)?,
                 DiskWrite::Entries(entries) => self.wal.append(&entries)?,
@@ -150,6 +154,9 @@
             last_entry = self.wal.sync()?;
             sync_duration = Some(self.clock.now().saturating_sub(start));
         }
+        if needs_audit_sync {
+            self.audit.sync()?;
+        }
         Ok(SyncedBatch {
             last_write,
             last_entry,
