--- a/review/tools-3/lab.rs
+++ b/review/tools-3/lab.rs
@@ -251,6 +251,7 @@
     pub list: InstanceList,
     list_address: SocketAddr,
     root: PathBuf,
+    front_pids: Mutex<BTreeMap<u8, u32>>,
 }
 
 impl Drop for Lab {
@@ -291,6 +292,7 @@
             list,
             list_address,
             root,
+            front_pids: Mutex::default(),
         })
     }
 
@@ -354,10 +356,10 @@
     }
 
     /// Starts an entry with the settings of deploy/entry.jsonc.
-    pub fn start_front(&self, n: u8, zone: &str, seeds: &[u8]) -> io::Result<Process> {
+    pub fn start_front(&self, n: u8, name: &str, zone: &str, seeds: &[u8]) -> io::Result<Process> {
         let ip = self.front(n);
         let settings = format!(
-            "{{\"name\":\"front-{n}\",\"failure_domain\":\"{zone}\",\"regions\":{},\"public_listen\":\"{ip}:{}\",\"ready_listen\":\"{ip}:{}\",\"metrics_listen\":\"{ip}:{}\",\"control\":{},\"internal_ports\":[{},{}],\"retry_ratio\":0.2,\"retry_slack\":58,\"stop_time\":\"6s\"}}",
+            "{{\"name\":\"{name}\",\"failure_domain\":\"{zone}\",\"regions\":{},\"public_listen\":\"{ip}:{}\",\"ready_listen\":\"{ip}:{}\",\"metrics_listen\":\"{ip}:{}\",\"control\":{},\"internal_ports\":[{},{}],\"retry_ratio\":0.2,\"retry_slack\":58,\"stop_time\":\"6s\"}}",
             self.zone_table(),
             self.port + FRONT,
             self.port + READY,
@@ -366,7 +368,9 @@
             self.port + RPC,
             self.port + RPC + 5,
         );
-        self.start("mangospindle-platform-entry", &format!("front-{n}"), &settings)
+        let process = self.start("mangospindle-platform-entry", name, &settings)?;
+        self.front_pids.lock().unwrap().insert(n, process.child.id());
+        Ok(process)
     }
 
     fn start(&self, program: &str, name: &str, settings: &str) -> io::Result<Process> {
@@ -416,6 +420,98 @@
     }
 }
 
+impl Lab {
+    /// The number of the control replica that an entry has a connection to, if it has one to a single replica.
+    pub fn replica_of(&self, front: u8) -> Option<u8> {
+        let table = fs::read_to_string("/proc/net/tcp").ok()?;
+        let mut found: Vec<u8> = Vec::new();
+        for line in table.lines().skip(1) {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            let (Some(local), Some(remote), Some(state)) = (fields.get(1), fields.get(2), fields.get(3)) else { continue };
+            let (Some(local), Some(remote)) = (parse_hex(local), parse_hex(remote)) else { continue };
+            // Connections are established in state 01. An entry connects from any address of the host, so
+            // the side of the replica is matched with the process below.
+            let _ = local;
+            if *state == "01" && remote.1 == self.port + RPC && remote.0.octets()[..3] == self.core(0).octets()[..3] {
+                let inode = fields.get(9).copied().unwrap_or_default();
+                if self.owns(front, inode) {
+                    found.push(remote.0.octets()[3] - 1);
+                }
+            }
+        }
+        found.dedup();
+        match found[..] {
+            [n] => Some(n),
+            _ => None,
+        }
+    }
+
+    /// Whether a process that this lab started as an entry has the socket with this number open.
+    fn owns(&self, front: u8, inode: &str) -> bool {
+        let pids = self.front_pids.lock().unwrap();
+        let Some(pid) = pids.get(&front) else { return false };
+        let Ok(entries) = fs::read_dir(format!("/proc/{pid}/fd")) else { return false };
+        entries.flatten().any(|e| fs::read_link(e.path()).is_ok_and(|l| l.to_string_lossy() == format!("socket:[{inode}]")))
+    }
+
+    /// The number of the control replica that leads, by the last change of role in the logs.
+    pub fn leader(&self, replicas: &[u8]) -> Option<u8> {
+        let role = |n: &u8| {
+            let log = fs::read_to_string(self.dir.join(format!("core-{n}.log"))).unwrap_or_default();
+            let last = log.lines().rfind(|l| l.contains("\"role_changed\"")).unwrap_or_default().to_string();
+            last.contains("\"role\":\"Leader\"")
+        };
+        let leaders: Vec<u8> = replicas.iter().copied().filter(|n| role(n)).collect();
+        match leaders[..] {
+            [n] => Some(n),
+            _ => None,
+        }
+    }
+}
+
+fn parse_hex(text: &str) -> Option<(Ipv4Addr, u16)> {
+    let (ip, port) = text.split_once(':')?;
+    let ip = u32::from_str_radix(ip, 16).ok()?.swap_bytes();
+    Some((Ipv4Addr::from(ip), u16::from_str_radix(port, 16).ok()?))
+}
+
+/// A request that a worker ran.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub at: Instant,
+    pub id: String,
+    pub worker: String,
+    pub service: String,
+}
+
+/// The requests that all workers ran.
+#[derive(Clone, Default)]
+pub struct Runs(pub Arc<Mutex<Vec<Run>>>);
+
+/// Starts a sound worker and adds it to the platform's list.
+pub fn start_worker(lab: &Lab, n: u8, id: &str, service: &str, zone: &str, work: Duration, runs: &Runs) -> io::Result<()> {
+    let address = lab.worker(n);
+    let row = Row { id: id.to_string(), service: service.to_string(), address, zone: zone.to_string(), state: "ready" };
+    let (own, runs) = (row.clone(), runs.clone());
+    serve(address, move |stream, received| {
+        let id = received.headers.get("x-request-id").cloned().unwrap_or_default();
+        let echo = if id.is_empty() { String::new() } else { format!("X-Request-Id: {id}\r\n") };
+        if received.headers.get("x-expect-instance").is_some_and(|i| *i != own.id) {
+            return answer(stream, "421 Misdirected Request", &format!("{echo}X-Not-Executed: 1\r\n"), b"");
+        }
+        if received.target == "/health" {
+            return answer(stream, "200 OK", &format!("X-Instance-Id: {}\r\nX-Server-Load: 0,0,3\r\n", own.id), b"");
+        }
+        let run = Run { at: Instant::now(), id: id.clone(), worker: own.id.clone(), service: own.service.clone() };
+        runs.0.lock().unwrap().push(run);
+        thread::sleep(work);
+        let stamp = format!("{echo}X-Server-Stamp: {}.{id}\r\nX-Server-Load: 1,0,3\r\n", own.id);
+        answer(stream, "200 OK", &stamp, own.service.as_bytes())
+    })?;
+    lab.list.0.lock().unwrap().push(row);
+    Ok(())
+}
+
 /// A base of ports that are free on the addresses of the lab.
 fn free_ports(net: u8) -> io::Result<u16> {
     for attempt in 0..50u16 {
