--- a/review/tools-3/lab.rs
+++ b/review/tools-3/lab.rs
@@ -454,6 +454,15 @@
         entries.flatten().any(|e| fs::read_link(e.path()).is_ok_and(|l| l.to_string_lossy() == format!("socket:[{inode}]")))
     }
 
+    /// The numbers of the voters that a replica knows, by the last change of members in its log.
+    pub fn voters(&self, replica: u8) -> Option<Vec<u8>> {
+        let log = fs::read_to_string(self.dir.join(format!("core-{replica}.log"))).ok()?;
+        let line = log.lines().rfind(|l| l.contains("\"members_changed\""))?;
+        let voters = line.split("\"voters\":\"").nth(1)?.split('"').next()?;
+        let number = |text: &str| Some(Ipv4Addr::from(text.parse::<u32>().ok()?).octets()[3] - 1);
+        voters.split(' ').map(number).collect()
+    }
+
     /// The number of the control replica that leads, by the last change of role in the logs.
     pub fn leader(&self, replicas: &[u8]) -> Option<u8> {
         let role = |n: &u8| {
