--- a/review/tools-3/lab.rs
+++ b/review/tools-3/lab.rs
@@ -65,9 +65,9 @@
     pub state: &'static str,
 }
 
-/// The platform's list of instances.
+/// The platform's list of instances, and the bytes of an entry of another writer.
 #[derive(Clone, Default)]
-pub struct InstanceList(pub Arc<Mutex<Vec<Row>>>);
+pub struct InstanceList(pub Arc<Mutex<Vec<Row>>>, pub Arc<Mutex<Option<String>>>);
 
 impl InstanceList {
     fn page(&self, zone: Option<&str>) -> String {
@@ -81,6 +81,7 @@
                     r.service, r.address, r.zone, r.state, r.id
                 )
             })
+            .chain(self.1.lock().unwrap().clone())
             .collect();
         format!(
             "{{\"instances\":{{\"columns\":[\"service\",\"address\",\"zone\",\"version\",\"slots\",\"state\",\"coldRemaining\",\"id\"],\"rows\":[{}]}},\"nextPageToken\":null}}",
