Do not take a reset in an upload for the end of an answer

Cause: the body of an answer without a length ends with its connection, and Exchange took each end of the stream for that. A reset is reported by one call on the socket only, and that was the write of the upload. The next read found the end of the stream, as after an orderly end. A write that fails was ignored there on purpose, because the answer may have come before.

Change: RequestWriter records whether a write failed because the connection was lost. Exchange takes the end of the stream for the end of a close-delimited body only if that is not so.

Why it works: after a reset, the first call that fails tells which came first. It fails with EPIPE if the peer had ended its direction before the reset, and the body is then complete. It fails with another error (a reset, a timeout) if the peer had not.

--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -175,9 +175,7 @@
             }
             match ready!(self.poll_read(cx)) {
                 Ok(n) if n > 0 => {}
-                Ok(_) if matches!(self.read_state, ReadState::CloseDelimited) => {
-                    self.read_state = ReadState::Done
-                }
+                Ok(_) if self.ends_with_connection() => self.read_state = ReadState::Done,
                 Ok(_) | Err(_) => {
                     self.lease = None;
                     return Poll::Ready(Some(Err(ExchangeError::Truncated)));
@@ -188,6 +186,13 @@
         Poll::Pending
     }
 
+    /// Whether the end of the stream is the end of the body: the body is close-delimited, and the peer has ended
+    /// the connection in order.
+    fn ends_with_connection(&self) -> bool {
+        matches!(self.read_state, ReadState::CloseDelimited)
+            && !self.request_writer.has_lost_connection()
+    }
+
     /// Abandons the exchange and returns the lease of its connection, if it is still open.
     pub fn abandon(mut self) -> Option<Lease<T>> {
         self.lease.take()
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -10,7 +10,8 @@
 //!   read, with no byte left over. Otherwise it is closed.
 //! - A response with the id of another request is skipped.
 //! - A response whose end is marked neither by its length nor by its last chunk is an error, unless
-//!   the caller accepts close-delimited responses.
+//!   the caller accepts close-delimited responses. Those end with a connection that the peer ends in
+//!   order; a reset truncates them.
 
 mod body_error;
 mod codec;
--- a/crates/client/src/request_writer.rs
+++ b/crates/client/src/request_writer.rs
@@ -2,6 +2,7 @@
 use crate::{BodyError, BodyFraming, ExchangeError, RequestHead};
 use bytes::{Buf, Bytes, BytesMut};
 use futures::Stream;
+use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use tokio::io::AsyncWrite;
@@ -17,6 +18,7 @@
     body: Option<BodyStream>,
     framing: BodyFraming,
     written: u64,
+    connection_lost: bool,
 }
 
 impl RequestWriter {
@@ -39,6 +41,7 @@
             body: body.filter(|_| framing != BodyFraming::None),
             framing,
             written: 0,
+            connection_lost: false,
         })
     }
 
@@ -47,6 +50,13 @@
         self.written > 0
     }
 
+    /// Whether a write failed because the connection was reset or timed out, and not because the peer had
+    /// ended it in order. Such a write takes the error from the socket: reads find the end of the stream
+    /// afterwards, as after an orderly end.
+    pub fn has_lost_connection(&self) -> bool {
+        self.connection_lost
+    }
+
     /// Whether the complete request was written.
     pub fn is_finished(&self) -> bool {
         self.out.is_empty() && self.body.is_none()
@@ -73,7 +83,14 @@
                         self.written += n as u64;
                         self.out.advance(n);
                     }
-                    Ok(_) | Err(_) => return Poll::Ready(Err(ExchangeError::Closed)),
+                    // The error after a reset is this one only if the peer's end of the stream came first.
+                    Err(e) if e.kind() == io::ErrorKind::BrokenPipe => {
+                        return Poll::Ready(Err(ExchangeError::Closed));
+                    }
+                    Ok(_) | Err(_) => {
+                        self.connection_lost = true;
+                        return Poll::Ready(Err(ExchangeError::Closed));
+                    }
                 }
             }
             let Some(body) = &mut self.body else {
