Test of resets in uploads at the product's own entry

The product's entry (crates/entry) handles it already, over one and two hops: it takes no answer without a length (502), and an answer with a length or in chunks that a reset cuts off reaches the caller without its end.

--- a/crates/entry/tests/entry/fake_endpoint.rs
+++ b/crates/entry/tests/entry/fake_endpoint.rs
@@ -1,3 +1,4 @@
+use socket2::SockRef;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,6 +14,8 @@
     /// Reads the body before the next step.
     ReadBody,
     Close,
+    /// Resets the connection.
+    Reset,
     /// Neither responds nor closes the connection, but records when the peer closes it.
     Stall,
 }
@@ -156,6 +159,11 @@
                 ScriptStep::Send(_) => {}
                 ScriptStep::WaitMs(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
                 ScriptStep::Close => return,
+                ScriptStep::Reset => {
+                    let socket = SockRef::from(&stream);
+                    socket.set_linger(Some(Duration::ZERO)).unwrap();
+                    return;
+                }
                 ScriptStep::Stall => {
                     while matches!(stream.read(&mut [0; 4096]).await, Ok(n) if n > 0) {}
                     received.lock().unwrap()[request_index].disconnected = true;
--- a/crates/entry/tests/entry/raw_response.rs
+++ b/crates/entry/tests/entry/raw_response.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// The response that a caller received before the connection was closed.
@@ -52,7 +52,10 @@
 }
 
 /// Reads a response until the connection is closed.
-pub async fn read_response(stream: &mut TcpStream, is_head: bool) -> RawResponse {
+pub async fn read_response<R>(stream: &mut R, is_head: bool) -> RawResponse
+where
+    R: AsyncRead + Unpin,
+{
     let mut bytes = Vec::new();
     let read_all = async { while matches!(stream.read_buf(&mut bytes).await, Ok(n) if n > 0) {} };
     tokio::time::timeout(Duration::from_secs(20), read_all)
--- a/crates/entry/tests/entry/request_bodies.rs
+++ b/crates/entry/tests/entry/request_bodies.rs
@@ -128,6 +128,68 @@
     }
 }
 
+/// A part of an early response must not look complete to the caller because the connection was reset while the
+/// upload was still being written.
+#[actix_web::test]
+async fn resets_in_uploads_do_not_complete_responses() {
+    struct Case {
+        name: &'static str,
+        response: &'static str,
+        /// Status of the response, and whether it is complete.
+        expected: (u16, bool),
+    }
+    let cases = [
+        Case {
+            name: "without a length",
+            response: "HTTP/1.1 200 OK\r\n\r\npart",
+            expected: (502, true),
+        },
+        Case {
+            name: "with a length",
+            response: "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart",
+            expected: (200, false),
+        },
+        Case {
+            name: "in chunks",
+            response: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n",
+            expected: (200, false),
+        },
+    ];
+    for hops in [1, 2] {
+        let cluster = start_cluster(0, 1, 3, 30).await;
+        for case in &cases {
+            cluster.endpoints[0].set_script(|_| {
+                vec![
+                    ScriptStep::Send(case.response.into()),
+                    ScriptStep::WaitMs(300),
+                    ScriptStep::Reset,
+                ]
+            });
+            let stream = TcpStream::connect(cluster.address(hops)).await.unwrap();
+            let (mut read, mut write) = stream.into_split();
+            let upload = actix_web::rt::spawn(async move {
+                let head = "PUT /s/files/x HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\
+                            content-length: 67108864\r\n\r\n";
+                write.write_all(head.as_bytes()).await.unwrap();
+                let chunk = vec![0; 64 * 1024];
+                // Ends when the entry closes the connection.
+                while write.write_all(&chunk).await.is_ok() {}
+                write
+            });
+            let response = read_response(&mut read, false).await;
+            drop(read);
+            assert_eq!(
+                (response.status, response.complete),
+                case.expected,
+                "{} with {hops} hops: {response:?}",
+                case.name
+            );
+            upload.abort();
+            cluster.wait_for_metric("slots_in_use", 0.0).await;
+        }
+    }
+}
+
 /// An endpoint that does not read must block the caller. The entries must not buffer the body
 /// without limit.
 #[actix_web::test]
