Reject answers in whose head a blank follows the name of a field

The caller got the answer with that line passed on, or, where the field was the length, with a body that was not the endpoint's.

Cause: the codec of actix-http tells its parser to accept blanks there in responses. Which field such a line is differs between readers, so RFC 9112 (section 5.1) has it removed or the message rejected. What follows must not depend on it: where the body ends, whether the connection stays open, what is passed on.

A malformed one is ExchangeError::Malformed, as other malformed heads: 502, or a further attempt where the request may run again.

Why it works: all answers of endpoints and other entries, health checks included, are read by Exchange, and nothing of a head is used before it has been checked as a whole.

Sound heads with other forms (no blank after the colon, all characters of a token, empty values) are accepted as before.

--- a/crates/client/src/exchange.rs
+++ b/crates/client/src/exchange.rs
@@ -1,5 +1,6 @@
 use crate::codec::client_codec;
 use crate::expected_id::response_id;
+use crate::head_check::check_head;
 use crate::{
     BodyFraming, Connection, ExchangeError, ExpectedId, Lease, RequestWriter, ResponseHead,
 };
@@ -303,6 +304,7 @@
         };
         let buf = &mut connection.buf;
         loop {
+            check_head(buf)?;
             match codec.decode(buf) {
                 Ok(Some(head)) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
                     return Err(ExchangeError::Malformed);
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -9,6 +9,7 @@
 //! - A connection is reused only after the complete request was sent and the complete response was
 //!   read, with no byte left over. Otherwise it is closed.
 //! - A response with the id of another request is skipped.
+//! - A response in whose head the name of a field is not a token is an error.
 //! - A response whose end is marked neither by its length nor by its last chunk is an error, unless
 //!   the caller accepts close-delimited responses. Those end with a connection that the peer ends in
 //!   order; a reset truncates them.
@@ -20,6 +21,7 @@
 mod exchange;
 mod exchange_error;
 mod expected_id;
+mod head_check;
 mod headers;
 mod lease;
 mod pool;
@@ -34,6 +36,7 @@
 pub use exchange::{Exchange, HeadResult};
 pub use exchange_error::ExchangeError;
 pub use expected_id::ExpectedId;
+pub use head_check::check_head;
 pub use headers::{end_to_end_headers, total_header_bytes};
 pub use lease::Lease;
 pub use pool::Pool;
--- a/crates/client/tests/status_lines.rs
+++ b/crates/client/tests/response_heads.rs
@@ -1,4 +1,4 @@
-//! Tests of status lines that an endpoint in trouble may send.
+//! Tests of status lines and fields that an endpoint in trouble may send.
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
@@ -128,3 +128,66 @@
         );
     }
 }
+
+/// Guards against heads in which the name of a field has a blank or a control byte. Readers of such a line differ in
+/// which field it is, and so in where the body ends.
+#[actix_rt::test]
+async fn only_tokens_are_names_of_fields() {
+    const BYTES: [char; 9] = [
+        ' ', '\t', '\0', '\x01', '\x0b', '\x0c', '\r', '\x1b', '\x7f',
+    ];
+    let fields = [
+        ("x-note", "a"),
+        ("content-length", "2"),
+        ("transfer-encoding", "chunked"),
+        ("connection", "close"),
+    ];
+    for (name, value) in fields {
+        let (start, rest) = name.split_at(3);
+        for byte in BYTES {
+            let lines = [
+                format!("{byte}{name}: {value}\r\n"),
+                format!("{start}{byte}{rest}: {value}\r\n"),
+                format!("{name}{byte}: {value}\r\n"),
+                format!("{name}{byte}{byte}: {value}\r\n"),
+            ];
+            for line in lines {
+                let heads = [
+                    line.clone(),
+                    format!("{line}content-length: 2\r\n"),
+                    format!("content-length: 2\r\n{line}"),
+                ];
+                for head in heads {
+                    for interim in ["", "HTTP/1.1 103 X\r\n\r\n"] {
+                        let bytes = format!("{interim}HTTP/1.1 200 OK\r\n{head}\r\nhi");
+                        let result = exchange(&bytes).await;
+                        assert_eq!(result, Err(ExchangeError::Malformed), "{bytes:?}");
+                    }
+                }
+                let bytes = format!(
+                    "HTTP/1.1 103 X\r\n{line}\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi"
+                );
+                let result = exchange(&bytes).await;
+                assert_eq!(result, Err(ExchangeError::Malformed), "{bytes:?}");
+            }
+        }
+    }
+}
+
+/// Guards against sound heads that are rejected for the form of a field.
+#[actix_rt::test]
+async fn sound_fields_are_accepted() {
+    let lines = [
+        "x-note: a",
+        "x-note:a",
+        "x-note: \t a \t ",
+        "x-note:",
+        "X-NOTE: a",
+        "!#$%&'*+-.^_`|~09azAZ: a",
+        "x-note: a: b",
+    ];
+    for line in lines {
+        let bytes = format!("HTTP/1.1 200 OK\r\n{line}\r\ncontent-length: 2\r\n\r\nhi");
+        assert_eq!(exchange(&bytes).await, Ok((200, true)), "{line:?}");
+    }
+}
--- a/crates/entry/tests/entry/responses.rs
+++ b/crates/entry/tests/entry/responses.rs
@@ -23,7 +23,7 @@
     reuse: bool,
 }
 
-const CASES: [Case; 14] = [
+const CASES: [Case; 19] = [
     Case {
         name: "content length",
         method: "GET",
@@ -136,6 +136,46 @@
         expected: Expected::Complete("body"),
         reuse: false,
     },
+    Case {
+        name: "blank before the colon of a length",
+        method: "GET",
+        endpoint_response: "HTTP/1.1 200 OK\r\ncontent-length : 2\r\n\r\nbody",
+        close: false,
+        expected: Expected::Error("upstream-failed"),
+        reuse: false,
+    },
+    Case {
+        name: "tab before the colon of a length",
+        method: "GET",
+        endpoint_response: "HTTP/1.1 200 OK\r\ncontent-length\t: 2\r\n\r\nbody",
+        close: false,
+        expected: Expected::Error("upstream-failed"),
+        reuse: false,
+    },
+    Case {
+        name: "blank before the colon of another field",
+        method: "GET",
+        endpoint_response: "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-note : a\r\n\r\nbody",
+        close: false,
+        expected: Expected::Error("upstream-failed"),
+        reuse: false,
+    },
+    Case {
+        name: "blank at the start of a name",
+        method: "GET",
+        endpoint_response: "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n x-note: a\r\n\r\nbody",
+        close: false,
+        expected: Expected::Error("upstream-failed"),
+        reuse: false,
+    },
+    Case {
+        name: "control byte in a name",
+        method: "GET",
+        endpoint_response: "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-\u{1}note: a\r\n\r\nbody",
+        close: false,
+        expected: Expected::Error("upstream-failed"),
+        reuse: false,
+    },
 ];
 
 fn decode_body(response: &RawResponse) -> String {
