Check the heads of answers in the command line, control and the load generator

What users saw, in tests: mangospindlectl reported a change as made ("done; configuration version 101", exit 0) on the word of an answer whose head had a blank between the name of its length and the colon. The load generator counted such answers as successes (20 of 20). A control replica read such a page of the platform's list as a list.

These clients use awc, which has the same codec and hides its bytes.

Answers with the status 000 were refused by all of them already.

Change: a connector for awc wraps its streams and checks each response head while it is read, with the function that Exchange uses. All clients of the project but the test harness use it: the command line, control (VM list, progress of drains), entries (VM list), the platform's list, the load generator.

Why it works: a malformed head is an error of the stream, which awc reports before it has a response. For the command line that is an answer that was lost: a change is repeated, and reported as unknown in the end. A replica keeps the list that it has. awc does not pipeline, and reads a response only after it has written the request; so what is read first after a write is a head.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -3,9 +3,10 @@
 use crate::lookup_cache::{LookupAnswer, LookupCache};
 use crate::recorder::Ending;
 use awc::error::{ConnectError, SendRequestError};
-use awc::{Client, ClientResponse, Connector, http::Method};
+use awc::{Client, ClientResponse, http::Method};
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
+use mangospindle_http::checked_connector;
 use mangospindle_model::{Clock, RegionId};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -55,7 +56,7 @@
         max_tried: usize,
         clock: Arc<dyn Clock>,
     ) -> Rc<Self> {
-        let connector = Connector::new()
+        let connector = checked_connector()
             .local_address(address)
             .timeout(CONNECT_TIMEOUT)
             .limit(0);
--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -1,5 +1,6 @@
 use crate::{LoadPlan, MAX_TRIED, Route, Traffic, UPLOAD_DEADLINE, run_load};
 use bpaf::{OptionParser, Parser, construct, long};
+use mangospindle_http::checked_connector;
 use mangospindle_model::Topology;
 use mangospindle_settings::Deployment;
 use miette::{IntoDiagnostic, Result, bail};
@@ -101,7 +102,9 @@
 
 /// Waits until all entries say that they are ready.
 async fn wait_ready(topology: &Topology, limit: Duration) -> Result<()> {
-    let client = awc::Client::default();
+    let client = awc::Client::builder()
+        .connector(checked_connector())
+        .finish();
     let all_ready = async {
         for entry in &topology.entries {
             let url = format!("http://{}/readyz", entry.public_address);
--- a/crates/bench/src/direct.rs
+++ b/crates/bench/src/direct.rs
@@ -1,5 +1,6 @@
 use crate::{LoadPlan, Route};
 use awc::Client;
+use mangospindle_http::checked_connector;
 use mangospindle_model::{EndpointId, RegionId, ServiceId, Topology};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
@@ -91,7 +92,7 @@
         if self.route != Route::LeastReported {
             return;
         }
-        let client = Client::default();
+        let client = Client::builder().connector(checked_connector()).finish();
         let reads = self.topology.endpoint_ids().map(|id| {
             let address = self.topology.endpoints[id.index()].address;
             let get = client.get(format!("http://{address}/health")).send();
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -2,7 +2,7 @@
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::Method;
 use awc::http::header::{AUTHORIZATION, RETRY_AFTER};
-use mangospindle_http::ProblemBody;
+use mangospindle_http::{ProblemBody, checked_connector};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -66,6 +66,7 @@
         let new_id = || uuid::Uuid::new_v4().to_string();
         Ok(Client {
             http: awc::Client::builder()
+                .connector(checked_connector())
                 .timeout(options.timeout)
                 .disable_redirects()
                 .finish(),
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -4,6 +4,7 @@
 
 #[path = "../../../control/tests/admin/backend.rs"]
 mod backend;
+mod broken_answers;
 mod commands;
 mod lost_answers;
 mod server;
--- a/crates/control/src/drain_progress.rs
+++ b/crates/control/src/drain_progress.rs
@@ -1,6 +1,7 @@
 use crate::admin::DrainReport;
 use awc::Client;
 use futures::future::join_all;
+use mangospindle_http::checked_connector;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -48,7 +49,10 @@
 }
 
 async fn fetch_owned_endpoints(owner: SocketAddr) -> Option<Vec<OwnedEndpoint>> {
-    let client = Client::builder().timeout(STATUS_TIMEOUT).finish();
+    let client = Client::builder()
+        .connector(checked_connector())
+        .timeout(STATUS_TIMEOUT)
+        .finish();
     let mut response = client
         .get(format!("http://{owner}/v1/status"))
         .send()
--- a/crates/http/src/conditional_get.rs
+++ b/crates/http/src/conditional_get.rs
@@ -1,3 +1,4 @@
+use crate::checked_connector;
 use awc::Client;
 use awc::http::StatusCode;
 use awc::http::header::{ETAG, HeaderValue, IF_NONE_MATCH};
@@ -26,7 +27,10 @@
     /// rejected.
     pub fn new(url: String, timeout: Duration, max_bytes: usize) -> Self {
         ConditionalGet {
-            client: Client::builder().timeout(timeout).finish(),
+            client: Client::builder()
+                .connector(checked_connector())
+                .timeout(timeout)
+                .finish(),
             url,
             max_bytes,
             cached: None,
