Report truncated answers to the clients of awc

What users saw, in tests: the load generator counted an answer that was cut off within its declared length as a success of an action (20 of 20), and its key as accepted.

Cause: awc takes the end of a connection for the end of any body, also of one with a length or in chunks. The command line, control and the lists of the platform have it too, but read JSON documents, which do not parse if a part is missing (the command line's test shows it, before this change as well).

Evidence: a client of awc got Ok((200, "part")) for a length of 9; the load generator's new case failed with 20 of 20.

Change: the checked streams of these clients report the end of the stream as an error if the head told where the body ends.

Why it works: such a client reads no further once a body is complete, so the end of the stream comes within it. awc reads from idle connections to see whether they are open, and drops them after an error as after an end. Bodies without a length (HTTP/1.0) still end with the connection.

After: six kinds of truncated answers are errors; answers of that form that are whole are taken.

--- a/crates/bench/tests/broken_answers.rs
+++ b/crates/bench/tests/broken_answers.rs
@@ -82,6 +82,7 @@
         "{succeeded} of {started}"
     );
     let broken = [
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 9\r\n\r\ndone",
         "HTTP/1.1 000 Trouble\r\nconnection: close\r\ncontent-length: 4\r\n\r\ndone",
         "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length : 4\r\n\r\ndone",
         "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length\t: 4\r\n\r\ndone",
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -36,7 +36,7 @@
 pub use exchange::{Exchange, HeadResult};
 pub use exchange_error::ExchangeError;
 pub use expected_id::ExpectedId;
-pub use head_check::check_head;
+pub use head_check::{CheckedHead, check_head};
 pub use headers::{end_to_end_headers, total_header_bytes};
 pub use lease::Lease;
 pub use pool::Pool;
--- a/crates/http/src/checked_stream.rs
+++ b/crates/http/src/checked_stream.rs
@@ -12,13 +12,17 @@
     /// A response head, of which these bytes have been read.
     Head(BytesMut),
     /// The body of a response, or an idle connection.
-    Body,
+    Body {
+        /// Whether the head told where the body ends.
+        delimited: bool,
+    },
 }
 
-/// A stream of an HTTP/1.1 client without pipelining that checks the heads of responses while they are read.
+/// A stream of an HTTP/1.1 client without pipelining that checks responses while they are read.
 ///
-/// A malformed head is reported as an error of the stream, before the client can use it. The client must write a
-/// request completely before it reads the response.
+/// A malformed head, and an end of the stream within a body whose end the head told, are reported as errors of the
+/// stream. The client must write a request completely before it reads the response, and must not read further
+/// once the body is complete, except to learn whether the connection is still open.
 #[derive(Debug)]
 pub struct CheckedStream<S> {
     stream: S,
@@ -30,18 +34,26 @@
     pub fn new(stream: S) -> Self {
         CheckedStream {
             stream,
-            state: ReadState::Body,
+            state: ReadState::Body { delimited: false },
         }
     }
 
-    /// Checks bytes that have just been read.
+    /// Checks bytes that have just been read. There are none at the end of the stream.
     fn check(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let ReadState::Head(head) = &mut self.state else {
-            return Ok(());
+        let head = match &mut self.state {
+            ReadState::Head(head) => head,
+            // The client reads no further once the body is complete.
+            ReadState::Body { delimited: true } if bytes.is_empty() => {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            ReadState::Body { .. } => return Ok(()),
         };
         head.extend_from_slice(bytes);
         match check_head(head) {
-            Ok(Some(_)) => self.state = ReadState::Body,
+            Ok(Some(head)) => {
+                let delimited = head.delimits_body;
+                self.state = ReadState::Body { delimited };
+            }
             Ok(None) => {}
             Err(e) => return Err(io::Error::new(io::ErrorKind::InvalidData, e)),
         }
--- a/crates/http/src/connector.rs
+++ b/crates/http/src/connector.rs
@@ -5,9 +5,11 @@
 use awc::Connector;
 use awc::http::Uri;
 
-/// Creates a connector for the clients of this project: they get no response whose head is malformed.
+/// Creates a connector for the clients of this project: they get no response whose head is malformed or whose body
+/// is truncated.
 ///
-/// The codec of `awc` accepts blanks between the name of a field and the colon.
+/// `awc` accepts blanks between the name of a field and the colon, and takes the end of the connection for the end
+/// of any body.
 pub fn checked_connector() -> Connector<
     impl Service<
         ConnectInfo<Uri>,
--- a/crates/http/tests/connector.rs
+++ b/crates/http/tests/connector.rs
@@ -121,3 +121,21 @@
         assert!(document.read().await.is_err(), "{response:?}");
     }
 }
+
+/// Guards against a part of a response that is taken for all of it.
+#[actix_rt::test]
+async fn truncated_bodies_are_errors() {
+    let cases = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nContent-Length: 9\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\npart",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    ];
+    for response in cases {
+        let address = start_server(vec![response.to_string()]).await;
+        let result = get(&client(), address).await;
+        assert!(result.is_err(), "{response:?}: {result:?}");
+    }
+}
