Limit the heads of answers that clients of awc read

What users would see: a process that reads an answer whose head has a field with a name of 64 KiB or more ends, as release builds abort on a panic.

Cause: the codec of actix-http unwraps the conversion of each name, which fails from 65,536 bytes on, and reads heads of up to 128 KiB.

Evidence: a client of awc panicked in the codec ("InvalidHeaderName") at a name of 70,000 bytes. Without the limit the new test fails at its first head.

Change: the checked streams of these clients refuse a head that is not complete after 32 KiB, the limit of Exchange.

Why it works: the bytes of a head reach the codec only after that check.

--- a/crates/http/src/checked_stream.rs
+++ b/crates/http/src/checked_stream.rs
@@ -6,6 +6,9 @@
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// Maximum length of a response head, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// What the bytes that are read next belong to.
 #[derive(Debug)]
 enum ReadState {
@@ -49,12 +52,15 @@
             ReadState::Body { .. } => return Ok(()),
         };
         head.extend_from_slice(bytes);
+        // The codec of the client panics if the name of a field has 64 KiB.
+        head.truncate(MAX_HEAD_BYTES);
         match check_head(head) {
             Ok(Some(head)) => {
                 let delimited = head.delimits_body;
                 self.state = ReadState::Body { delimited };
             }
-            Ok(None) => {}
+            Ok(None) if head.len() < MAX_HEAD_BYTES => {}
+            Ok(None) => return Err(io::ErrorKind::InvalidData.into()),
             Err(e) => return Err(io::Error::new(io::ErrorKind::InvalidData, e)),
         }
         Ok(())
--- a/crates/http/tests/connector.rs
+++ b/crates/http/tests/connector.rs
@@ -139,3 +139,17 @@
         assert!(result.is_err(), "{response:?}: {result:?}");
     }
 }
+
+/// Guards against the end of a process because the name of a field is too long for the codec.
+#[actix_rt::test]
+async fn long_heads_are_errors() {
+    for length in [32 * 1024, 65_535, 65_536, 100_000, 200_000] {
+        let name = "a".repeat(length);
+        for line in [format!("{name}: b"), format!("x-note: {name}")] {
+            let head = format!("HTTP/1.1 200 OK\r\n{line}\r\ncontent-length: 2\r\n\r\n{{}}");
+            let address = start_server(vec![head]).await;
+            let result = get(&client(), address).await;
+            assert!(result.is_err(), "{length} bytes: {result:?}");
+        }
+    }
+}
