Do not take a truncated health answer for a sign of health

Callers saw, in a test: an ejected endpoint whose health answers are cut off got orders again (427 ms after all entries had ejected all endpoints of the service).

Cause: the gateway reads the rest of a health answer only to use its connection again, and ignored that the rest was missing. Heads that are malformed and answers without a length were refused already, and the product's own entry (crates/entry) refuses truncated ones as well.

Change: drain_body reports a body that is truncated or malformed, and such an answer does not count as healthy. What its head says of a cold start, and the promise of a rejection not to have run, still hold: both only make an entry more careful.

Why it works: an ejected endpoint gets requests that may run once only after a health check has passed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -228,7 +228,8 @@
     }
     gateway.record_notices(choice, metadata.notices);
     if metadata.not_run {
-        let lease = drain_body(exchange).await;
+        // The head alone is the promise that the request has not run.
+        let lease = drain_body(exchange).await.ok().flatten();
         guard.finish(Outcome::Rejected {
             load: metadata.load,
         });
@@ -257,16 +258,26 @@
 }
 
 /// Reads the rest of a short response, so that its connection can be reused. Returns the connection if
-/// the exchange keeps it.
+/// the body ends in time and the exchange keeps it.
+///
+/// # Errors
+///
+/// See [`ExchangeError`]: the body is truncated or malformed.
 pub(crate) async fn drain_body(
     mut exchange: Exchange<ConnectionTarget>,
-) -> Option<Lease<ConnectionTarget>> {
+) -> Result<Option<Lease<ConnectionTarget>>, ExchangeError> {
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
-    let read_rest =
-        async { while let Some(Ok(_)) = poll_fn(|cx| exchange.poll_chunk(cx)).await {} };
-    // If the body does not end in time, dropping the exchange closes the connection.
-    (tokio::time::timeout(DRAIN_TIMEOUT, read_rest).await).ok()?;
-    exchange.abandon()
+    let read_rest = async {
+        while let Some(chunk) = poll_fn(|cx| exchange.poll_chunk(cx)).await {
+            chunk?;
+        }
+        Ok(())
+    };
+    match tokio::time::timeout(DRAIN_TIMEOUT, read_rest).await {
+        Ok(read) => read.map(|()| exchange.abandon()),
+        // Dropping the exchange closes the connection.
+        Err(_) => Ok(None),
+    }
 }
 
 /// Buffers the body of a response. A body beyond [`MAX_BUFFERED_BYTES`] is returned as a stream. Also
--- a/crates/gateway/src/health_checks.rs
+++ b/crates/gateway/src/health_checks.rs
@@ -91,13 +91,19 @@
         return (HealthReport::Unanswered, None);
     };
     (gateway.paths.borrow_mut()).record_response(gateway.now());
-    let lease = drain_body(exchange).await;
-    let report = report(gateway, check, &head);
+    let drained = drain_body(exchange).await;
+    let report = report(gateway, check, &head, drained.is_ok());
+    let lease = drained.ok().flatten();
     (report, lease.filter(|_| head.status == StatusCode::OK))
 }
 
-/// What the response to a health check says.
-fn report(gateway: &Gateway, check: &HealthCheck, head: &ResponseHead) -> HealthReport {
+/// What the response to a health check says. One whose body is truncated does not show that the endpoint is healthy.
+fn report(
+    gateway: &Gateway,
+    check: &HealthCheck,
+    head: &ResponseHead,
+    has_valid_body: bool,
+) -> HealthReport {
     let metadata = gateway.protocol.response_metadata(head);
     if !metadata.misdirected {
         gateway.record_check_notices(check.endpoint, metadata.notices);
@@ -111,7 +117,7 @@
         None => HealthReport::Unanswered,
         Some(instance) if instance != check.instance => HealthReport::Unanswered,
         _ => HealthReport::Answered {
-            healthy: head.status == StatusCode::OK,
+            healthy: head.status == StatusCode::OK && has_valid_body,
             cold_for: gateway.protocol.health_cold_for(head),
         },
     }
