Let a replica that stops leave the membership

For 2 s after the planned end of a replaced control machine the leader still counted on it. With three machines the loss of one disk in that time stopped the core for good.

Cause: a stop told the leader nothing, so that the leader noticed it by the silence.

Change: a replica that stops hands over leadership, then tells the leader so every 0.1 s, for at most 1 s. The leader treats it as silent, removes it if the membership can spare it, and replies once the removal is committed, or at once if it stays a voter. A rolling restart sends the same signal: a replica that was removed asks to be admitted as soon as it starts again, not 2 s later, and then every 0.5 s. A leader does not hand over to a replica that leaves.

A leader of the build before does not know the message and drops it with the batch that it comes in; the stop then takes 1 s longer, and the next leader of this build removes the voter.

--- a/crates/consensus/src/input.rs
+++ b/crates/consensus/src/input.rs
@@ -40,4 +40,7 @@
         /// The preferred next leader, if any.
         to: Option<ReplicaId>,
     },
+    /// Tells the leader that the process is about to stop. Repeated until
+    /// [`has_left`](crate::Node::has_left) returns true.
+    Leave,
 }
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -97,4 +97,9 @@
         /// one at a new address, finds the leader through them.
         members: Vec<ReplicaId>,
     },
+    /// Tells the leader that the sender's process stops. Builds that do not know it drop it, like
+    /// the reply.
+    Leave,
+    /// Reply to `Leave`. The sender is removed, or stays a voter because it cannot be spared.
+    LeaveReply,
 }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -6,6 +6,7 @@
 mod follower;
 mod forming;
 mod leader;
+mod leave;
 mod reconfigure;
 mod replicate;
 
@@ -55,8 +56,8 @@
     commit_index: u64,
     state: State,
     leader: Option<Member>,
-    /// Time of the last message from the leader.
-    last_leader_contact: Duration,
+    /// Time of the last message from a leader, if one has been received since the start.
+    last_leader_contact: Option<Duration>,
     election_deadline: Duration,
     /// Index of the last entry known to match the log of the current term's leader.
     matched: u64,
@@ -66,6 +67,9 @@
     clock_origin_ms: u64,
     peer_hellos: BTreeMap<ReplicaId, PeerHello>,
     next_hello: Duration,
+    /// Whether the process stops, so that this node neither campaigns nor asks to be admitted.
+    stopping: bool,
+    has_left: bool,
     /// Replicas that `Hello` messages of others have named, to which this node sends `Hello` too.
     peer_replicas: BTreeSet<ReplicaId>,
     reported_role: Option<Role>,
@@ -105,7 +109,7 @@
             commit_index,
             state: State::Follower,
             leader: None,
-            last_leader_contact: Duration::ZERO,
+            last_leader_contact: None,
             election_deadline: now,
             matched: commit_index,
             round: 0,
@@ -113,6 +117,8 @@
             clock_origin_ms,
             peer_hellos: BTreeMap::new(),
             next_hello: now,
+            stopping: false,
+            has_left: false,
             peer_replicas: BTreeSet::new(),
             reported_role: None,
             hard_state_changed: false,
@@ -231,6 +237,7 @@
             Input::Persisted { index, term } => self.handle_persisted(now, index, term),
             Input::Compact { index, data } => self.compact(index, data),
             Input::TransferLeadership { to } => self.transfer_leadership(now, to),
+            Input::Leave => self.leave(),
         }
     }
 
@@ -294,6 +301,8 @@
                 sent_ms,
             } => self.receive_append_reply(now, from, accepted, index, round, sent_ms),
             MessageKind::TimeoutNow => self.receive_timeout_now(now, from),
+            MessageKind::Leave => self.receive_leave(now, from),
+            MessageKind::LeaveReply => self.receive_leave_reply(from),
             MessageKind::Hello { .. } => {}
         }
     }
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -58,9 +58,11 @@
     /// Returns whether this node knows a live leader. It may be the leader itself, because a leader
     /// that loses its majority steps down.
     fn has_live_leader(&self, now: Duration) -> bool {
-        let elapsed = now.saturating_sub(self.last_leader_contact);
-        matches!(self.state, State::Leader(_))
-            || (self.leader.is_some() && elapsed < self.settings.timing.election_timeout_min)
+        let timeout = self.settings.timing.election_timeout_min;
+        let recent_contact = self
+            .last_leader_contact
+            .is_some_and(|at| now.saturating_sub(at) < timeout);
+        matches!(self.state, State::Leader(_)) || (self.leader.is_some() && recent_contact)
     }
 
     /// Returns whether this node may vote for a candidate whose log ends in (term, index) `last`.
@@ -75,8 +77,8 @@
     /// committed may have to lead again, because its log may be the only one with the removal.
     pub(super) fn may_campaign(&self) -> bool {
         let own = self.member();
-        let possible = self.log.possible_memberships(self.commit_index);
-        possible.iter().any(|(_, m)| m.is_voter(own))
+        let mut possible = self.log.possible_memberships(self.commit_index).iter();
+        !self.stopping && possible.any(|(_, m)| m.is_voter(own))
     }
 
     pub(super) fn start_pre_vote(&mut self, now: Duration) {
--- a/crates/consensus/src/node/follower.rs
+++ b/crates/consensus/src/node/follower.rs
@@ -26,7 +26,7 @@
             self.become_follower(now, Some(from));
         }
         self.leader = Some(from);
-        self.last_leader_contact = now;
+        self.last_leader_contact = Some(now);
         self.round = self.round.max(round);
         self.reset_election_timer(now);
     }
--- a/crates/consensus/src/node/forming.rs
+++ b/crates/consensus/src/node/forming.rs
@@ -44,7 +44,8 @@
     /// Sends `Hello` if it is due, and tries to form a cluster.
     pub(super) fn send_periodic_hello(&mut self, now: Duration) {
         let interval = match self.membership().contains(self.member()) {
-            true if self.may_be_removed(now) => self.settings.timing.election_timeout_max,
+            _ if self.stopping => return,
+            true if self.may_be_removed(now) => self.settings.timing.election_timeout_min,
             true => return,
             false => self.settings.timing.heartbeat_interval,
         };
@@ -59,13 +60,16 @@
     }
 
     /// Returns whether the leader may have removed this member of an open membership. The member is
-    /// not told, because no leader sends to it after the removal.
+    /// not told, because no leader sends to it after the removal. A member that has just started
+    /// may have been removed before.
     fn may_be_removed(&self, now: Duration) -> bool {
         let limit = self.settings.timing.election_timeout_max * REJOIN_ELECTION_TIMEOUTS;
         let is_leader = matches!(self.state, State::Leader(_));
         self.settings.open_membership
             && !is_leader
-            && now.saturating_sub(self.last_leader_contact) >= limit
+            && self
+                .last_leader_contact
+                .is_none_or(|at| now.saturating_sub(at) >= limit)
     }
 
     fn broadcast_hello(&mut self) {
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -85,7 +85,7 @@
         };
         let is_responsive = |member: &Member| {
             let progress = leader_state.progress.get(member);
-            progress.is_some_and(|p| now.saturating_sub(p.last_contact()) <= timeout)
+            progress.is_some_and(|p| !p.is_leaving(now) && p.silence(now) <= timeout)
         };
         let matched = |member: &Member| leader_state.progress.get(member).map(|p| p.matched);
         let voters = membership.voters.iter().filter(|v| is_responsive(v));
--- a/crates/consensus/src/node/reconfigure.rs
+++ b/crates/consensus/src/node/reconfigure.rs
@@ -186,7 +186,7 @@
     /// An even number of voters bears no more losses than one voter less, so the voter is never
     /// missed. With an odd number it depends on how many losses must be borne. If that is not
     /// known, the voter counts as gone permanently after a longer time.
-    fn can_spare(&self, now: Duration, voter: Member) -> bool {
+    pub(super) fn can_spare(&self, now: Duration, voter: Member) -> bool {
         let voters = self.membership().voters.len();
         let remaining = voters.saturating_sub(1);
         let silence = self.progress(voter).map(|p| p.silence(now));
@@ -199,17 +199,19 @@
         bears_losses && remaining >= MIN_REMAINING_VOTERS
     }
 
-    /// Returns the member of an open membership that has not replied for the longest time. `None`
-    /// if no member has been silent for the replacement timeout.
+    /// Returns the member of an open membership that has been silent the longest, leaving ones first.
+    /// `None` if no member is leaving or has been silent for the replacement timeout.
     fn longest_unresponsive(&self, now: Duration, members: &[Member]) -> Option<Member> {
         let limit = self.settings.timing.replacement_timeout;
         let tracked = members
             .iter()
-            .filter_map(|m| Some((self.progress(*m)?.last_contact(), *m)));
+            .filter_map(|m| Some((self.progress(*m)?, *m)));
         tracked
-            .filter(|(at, _)| self.settings.open_membership && now.saturating_sub(*at) >= limit)
+            .map(|(progress, member)| (!progress.is_leaving(now), progress.last_contact(), member))
+            .filter(|(stays, at, _)| !stays || now.saturating_sub(*at) >= limit)
+            .filter(|_| self.settings.open_membership)
             .min()
-            .map(|(_, member)| member)
+            .map(|(_, _, member)| member)
     }
 
     /// Returns the leader's view of the replication to another member.
@@ -222,7 +224,7 @@
 
     fn is_responsive(&self, now: Duration, member: Member) -> bool {
         let timeout = self.settings.timing.election_timeout_max;
-        let replies = |p: &Progress| p.silence(now) <= timeout;
+        let replies = |p: &Progress| !p.is_leaving(now) && p.silence(now) <= timeout;
         member == self.member() || self.progress(member).is_some_and(replies)
     }
 
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -28,6 +28,8 @@
     /// Latest time at which the follower was known to have all committed entries and the latest
     /// membership.
     pub(crate) caught_up_at: Option<Duration>,
+    /// Time until which the follower counts as unresponsive, because it said that it stops.
+    pub(crate) leaving_until: Option<Duration>,
     /// Time at which the leader started to replicate to the follower.
     tracked_since: Duration,
     /// Last index and size in bytes of each unacknowledged append.
@@ -44,6 +46,7 @@
             echo_ms: 0,
             acked_round_start: None,
             caught_up_at: None,
+            leaving_until: None,
             tracked_since: now,
             in_flight: VecDeque::new(),
             in_flight_bytes: 0,
@@ -61,6 +64,11 @@
         now.saturating_sub(self.last_contact())
     }
 
+    /// Returns whether the follower has said that it stops.
+    pub(crate) fn is_leaving(&self, now: Duration) -> bool {
+        self.leaving_until.is_some_and(|until| now < until)
+    }
+
     /// Returns the number of unacknowledged appends and their size in bytes.
     pub(crate) fn window(&self) -> (usize, usize) {
         (self.in_flight.len(), self.in_flight_bytes)
--- a/crates/consensus/tests/cluster/deployment.rs
+++ b/crates/consensus/tests/cluster/deployment.rs
@@ -14,6 +14,11 @@
 /// Time after the end of all faults within which changes must be accepted again, as guaranteed to
 /// deployments.
 pub const RECOVERY_TIME: Duration = Duration::from_secs(15);
+/// Longest time for which the driver of a node that stops waits for it to leave.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval at which that driver says again that the node leaves.
+const LEAVE_INTERVAL: Duration = Duration::from_millis(100);
+
 pub struct Deployment {
     pub simulation: Simulation,
     pub size: usize,
@@ -87,14 +92,27 @@
         self.simulation.start_settings.seed_replicas = seeds.collect();
     }
 
-    /// Stops the process of a replica as planned, which first hands over leadership.
-    pub fn stop(&mut self, replica: usize) {
+    /// Stops the process of a replica as planned, which first hands over leadership and leaves.
+    /// Returns whether the leader has agreed that it leaves, and it is no voter any more.
+    pub fn stop(&mut self, replica: usize) -> bool {
         if self.simulation.leader() == Some(replica) {
             let transfer = Input::TransferLeadership { to: None };
             self.simulation.step(replica, vec![transfer]);
             self.simulation.run(Duration::from_millis(500));
         }
+        let end = self.simulation.now + LEAVE_TIMEOUT;
+        while self.simulation.now < end && !self.has_left(replica) {
+            self.simulation.step(replica, vec![Input::Leave]);
+            self.simulation.run(LEAVE_INTERVAL);
+        }
+        let left = self.has_left(replica) && !self.is_voter(replica);
         self.simulation.kill(replica);
+        left
+    }
+
+    fn has_left(&self, replica: usize) -> bool {
+        let node = self.simulation.node(replica);
+        node.is_none_or(|n| n.has_left())
     }
 
     /// Kills and restarts the leader, if there is one.
--- a/crates/consensus/tests/cluster/replacements.rs
+++ b/crates/consensus/tests/cluster/replacements.rs
@@ -224,6 +224,41 @@
     }
 }
 
+/// Guards against a planned stop that the others only notice by the silence that follows: the losses
+/// that the deployment tolerates would stop it for good if they came before that.
+#[test]
+fn stopped_predecessor_is_no_voter_when_it_ends() {
+    for (size, seed) in [3, 5]
+        .into_iter()
+        .flat_map(|s| (0..10).map(move |n| (s, n)))
+    {
+        let context = format!("{size} replicas, seed {seed}");
+        let mut deployment = Deployment::start(size, seed);
+        let predecessor = seed as usize % size;
+        deployment.add();
+        deployment.simulation.run(CATCH_UP_TIME);
+        deployment.stop(predecessor);
+        deployment.remove(predecessor);
+        deployment.check_bears_losses(&context);
+    }
+}
+
+/// Guards against a rolling restart that leaves out replicas: each of them leaves when it stops, and
+/// may have been removed when it starts again.
+#[test]
+fn rolling_restart_keeps_all_voters() {
+    for size in 3..=7 {
+        let mut deployment = Deployment::start(size, 9);
+        for replica in 0..size {
+            deployment.stop(replica);
+            deployment.simulation.run(Duration::from_secs(1));
+            deployment.restart_stopped();
+            deployment.simulation.run(Duration::from_secs(1));
+            deployment.check(&format!("{size} replicas, {replica} restarted"), 0);
+        }
+    }
+}
+
 /// Guards against a removal that shrinks a deployment that was extended: five replicas then have to
 /// bear two losses, also while one of them is paused.
 #[test]
--- a/crates/control/src/limits.rs
+++ b/crates/control/src/limits.rs
@@ -64,6 +64,13 @@
 /// proposals are finished.
 pub(crate) const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// How long a stopping replica of an open deployment waits until the leader agrees that it leaves.
+pub(crate) const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Interval at which a stopping replica tells the leader again that it leaves. Long enough for a
+/// reply from another region.
+pub(crate) const LEAVE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Maximum size of the encoded audit records that are exported at once, in bytes. A larger record is
 /// exported alone.
 pub(crate) const AUDIT_EXPORT_BYTES: usize = 1 << 20;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -32,6 +32,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use stop::StopProgress;
 use tokio::sync::oneshot;
 
 /// Components of a [`Replica`].
@@ -55,12 +56,7 @@
     /// Participates in the replicated log.
     Running,
     /// Finishes pending proposals and accepts no new ones.
-    Stopping {
-        /// When the stop began.
-        started_at: Duration,
-        /// When the transfer of leadership was requested, if it was.
-        transfer_started_at: Option<Duration>,
-    },
+    Stopping(StopProgress),
     /// The disk failed, or a snapshot could not be decoded. The replica sends and accepts nothing until
     /// it has read its data directory again.
     DiskFailed,
