Name the members to a removed replica that asks

A replica that was removed while it was cut off, and while a machine that had joined meanwhile became the leader, stayed out for good.

Cause: it asks the members that it knows, and only the leader acts on that. A replica that was never a member is told the current members; one that was a member once got no answer.

Change: a replica with a live leader also answers one that it knows not to be a member, and a member that asks uses what it is told until a leader reaches it. Two replicas without a leader do not answer each other.

--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -57,7 +57,7 @@
 
     /// Returns whether this node knows a live leader. It may be the leader itself, because a leader
     /// that loses its majority steps down.
-    fn has_live_leader(&self, now: Duration) -> bool {
+    pub(super) fn has_live_leader(&self, now: Duration) -> bool {
         let timeout = self.settings.timing.election_timeout_min;
         let recent_contact = self
             .last_leader_contact
--- a/crates/consensus/src/node/follower.rs
+++ b/crates/consensus/src/node/follower.rs
@@ -27,6 +27,8 @@
         }
         self.leader = Some(from);
         self.last_leader_contact = Some(now);
+        // The log names the members from now on.
+        self.peer_replicas.clear();
         self.round = self.round.max(round);
         self.reset_election_timer(now);
     }
--- a/crates/consensus/src/node/forming.rs
+++ b/crates/consensus/src/node/forming.rs
@@ -112,13 +112,13 @@
         if sender.replica == self.member().replica {
             return;
         }
+        self.peer_replicas.extend(members);
         if self.is_formed() {
-            if !formed {
+            if !formed || self.may_refer(now, sender) {
                 self.send_hello(sender.replica);
             }
             return self.admit(now, sender);
         }
-        self.peer_replicas.extend(members);
         if !self.settings.may_form {
             return;
         }
@@ -134,6 +134,15 @@
         self.try_to_form();
     }
 
+    /// Returns whether the sender may have to learn the current members from this node. A member that
+    /// was removed while it was partitioned may not know the leader. Only a node with a live leader
+    /// replies, so that two nodes without one do not reply to each other forever.
+    fn may_refer(&self, now: Duration, sender: Member) -> bool {
+        self.settings.open_membership
+            && self.has_live_leader(now)
+            && !self.membership().contains(sender)
+    }
+
     /// Accepts a proposal with a higher ballot if it has the configured replicas and this storage.
     fn accept_if_valid(&mut self, proposal: &Formation) {
         let accepted = self.hard_state.formation.as_ref();
--- a/crates/consensus/tests/cluster/open_membership.rs
+++ b/crates/consensus/tests/cluster/open_membership.rs
@@ -89,6 +89,29 @@
     deployment.check("after the partition", 0);
 }
 
+/// Guards against a removed replica that asks only replicas that do not lead, because the leader has
+/// joined since.
+#[test]
+fn removed_replica_finds_a_leader_that_it_does_not_know() {
+    for seed in 0..10 {
+        let mut deployment = Deployment::start(6, seed);
+        let leader = deployment.simulation.leader();
+        let partitioned = (0..6).find(|r| Some(*r) != leader).unwrap_or(0);
+        deployment.simulation.perform(Op::Isolate(partitioned));
+        deployment.simulation.run(REPLACEMENT_TIMEOUT * 2);
+        let added = deployment.add();
+        deployment.size += 1;
+        deployment.simulation.run(CATCH_UP_TIME);
+        deployment.simulation.perform(Op::Transfer(added));
+        deployment.simulation.run(Duration::from_secs(2));
+        assert_eq!(deployment.simulation.leader(), Some(added), "seed {seed}");
+        assert!(!deployment.is_voter(partitioned), "seed {seed}");
+        deployment.simulation.perform(Op::Heal);
+        deployment.simulation.run(CATCH_UP_TIME);
+        deployment.check(&format!("seed {seed}"), 0);
+    }
+}
+
 /// Guards against a second cluster, lost commands and loss of availability while replicas are
 /// killed, paused, partitioned and replaced, or lose their disks.
 #[test]
