Soak test of overlapping changes of the membership

Random runs of the replicated log: planned and unplanned replacements, rolling stops, restarts of the leader and of all, pauses, partitions, compaction and losses of disks that overlap. At most as many disks are lost as the deployment tolerates until it has recovered. Afterwards there is a leader, nothing acknowledged is gone, and the voters are the replicas that run; then the tolerated number of disks, that of the leader among them, is lost at once.

--- a/crates/consensus/tests/cluster/deployment.rs
+++ b/crates/consensus/tests/cluster/deployment.rs
@@ -141,6 +141,21 @@
         }
     }
 
+    pub fn restart(&mut self, replica: usize) {
+        self.update_seeds();
+        self.simulation.perform(Op::Restart(replica));
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        self.simulation.perform(Op::Heal);
+        self.simulation.perform(Op::Loss(0));
+        for replica in self.running.clone() {
+            self.simulation.replicas[replica].frozen_until = Duration::ZERO;
+        }
+        self.restart_stopped();
+    }
+
     pub fn voters(&self) -> Vec<usize> {
         let leader = self
             .simulation
--- a/crates/consensus/tests/cluster/main.rs
+++ b/crates/consensus/tests/cluster/main.rs
@@ -5,6 +5,7 @@
 mod disk_losses;
 mod faults;
 mod fuzz;
+mod membership_soak;
 mod open_membership;
 mod operations;
 mod oracle;
