--- a/crates/consensus/src/node/reconfigure.rs
+++ b/crates/consensus/src/node/reconfigure.rs
@@ -127,10 +127,13 @@
     /// predecessor stopped.
     ///
     /// A voter whose storage is lost is replaced by a learner that has caught up. The old member is
-    /// removed first, so that the new one never makes a majority harder to reach. Another learner is
-    /// promoted only if the other voters reach the majority without it, because it may be lost at
-    /// the same time, or if an unresponsive voter makes way for it. Voters that are gone permanently would accumulate until no majority
-    /// can be reached, so those that the membership can spare are removed.
+    /// removed first, so that the new one never makes a majority harder to reach.
+    ///
+    /// Any other learner is promoted only if the voters reach the majority without it, because it
+    /// may be lost at the same time, or if an unresponsive voter can be removed right after.
+    ///
+    /// Voters that are gone permanently would accumulate until no majority can be reached. Those
+    /// that the membership can spare are removed.
     fn next_repair(&self, now: Duration) -> Option<RepairStep> {
         let membership = self.membership();
         let voters = &membership.voters;
@@ -163,14 +166,13 @@
         let unresponsive = self.longest_unresponsive(now, voters);
         let unresponsive_learner = self.longest_unresponsive(now, &membership.learners);
         match newcomer {
-            // With a voter that can be removed right after, all the others are needed only for that
-            // time. If it were removed first and came back after the disk of another was lost, its
-            // vote would be missing.
+            // The unresponsive voter is not removed first: it may come back, and its vote would be
+            // missing if the disk of another voter were lost before the promotion.
             Some(newcomer) if majority_responsive || unresponsive.is_some() => {
                 Some(RepairStep::PromoteLearner(newcomer))
             }
-            // The change that makes way for the learner, if any, was appended but has not reached it.
-            // Without it, another voter would be removed.
+            // A learner that only lacks the latest change is promoted next. Until then the number of
+            // voters is one too low to judge whether another voter can be spared.
             _ if newcomers().any(|l| self.was_caught_up(now, *l)) => None,
             _ if replaced_voter.is_some() => replaced_voter.map(RepairStep::RemoveReplaced),
             _ => unresponsive
@@ -235,8 +237,7 @@
             .is_some_and(|p| p.matched >= self.commit_index.max(self.log.membership().0))
     }
 
-    /// Returns whether a member had caught up within the last election timeout. A change that was
-    /// just appended does not matter.
+    /// Returns whether a member had caught up at some time within the last election timeout.
     fn was_caught_up(&self, now: Duration, member: Member) -> bool {
         let timeout = self.settings.timing.election_timeout_max;
         self.progress(member)
