--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -86,8 +86,8 @@
     /// Asks the receiver to start an election at once, to transfer leadership to it.
     TimeoutNow,
     /// Sent to all known replicas by a node that is in no membership, or that may have been removed
-    /// from an open one. Members reply to a node without a membership, or that they know is not in
-    /// it, with the same message. The receiver's storage identifier is nil because the sender does not know it.
+    /// from an open one. Members reply with the same message to a node that has no membership or is
+    /// not in theirs. The receiver's storage identifier is nil because the sender does not know it.
     Hello {
         /// The initial membership that the sender has accepted, if any.
         formation: Option<Formation>,
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -69,6 +69,7 @@
     next_hello: Duration,
     /// Whether the process stops, so that this node neither campaigns nor asks to be admitted.
     stopping: bool,
+    /// Whether the leader has answered the `Leave` of this stopping node.
     has_left: bool,
     /// Replicas that `Hello` messages of others have named, to which this node sends `Hello` too.
     peer_replicas: BTreeSet<ReplicaId>,
