Play the seeds that failed in the soak test of the membership

Cause: seeds 500849 and 21 failed while the fixes were made (a silent voter removed before the promotion of the newcomer; a removed replica that did not find the leader). Change: both are played first.

--- a/crates/consensus/tests/cluster/membership_soak.rs
+++ b/crates/consensus/tests/cluster/membership_soak.rs
@@ -9,6 +9,9 @@
 use std::time::Duration;
 
 const RUNS: u64 = 40;
+/// Seeds of earlier failures: a silent voter that was removed before the newcomer was promoted, and a
+/// removed replica that did not find the leader.
+const FAILED_SEEDS: [u64; 2] = [500_849, 21];
 const ROUNDS: usize = 3;
 const MAX_FAULTS_IN_ROUND: usize = 8;
 const MAX_GAP_MS: u64 = 1500;
@@ -204,7 +207,8 @@
 #[test]
 fn overlapping_faults_leave_the_running_replicas_as_voters() {
     let first = env_number("MANGOSPINDLE_MEMBERSHIP_SEED", 0);
-    for seed in first..first + env_number("MANGOSPINDLE_MEMBERSHIP_RUNS", RUNS) {
+    let runs = env_number("MANGOSPINDLE_MEMBERSHIP_RUNS", RUNS);
+    for seed in FAILED_SEEDS.into_iter().chain(first..first + runs) {
         let mut rng = StdRng::seed_from_u64(seed);
         let size = rng.random_range(3..=7);
         let mut deployment = Deployment::start(size, seed);
